--- /dev/null
+++ b/src/adapters/bytes.hpp
@@ -0,0 +1,12 @@
+// Buffers that the adapters move around.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+using byte_buffer = std::vector<std::uint8_t>;
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/gate/gate.hpp
@@ -0,0 +1,83 @@
+// The last gate before an upstream: how many requests run at once, which wait,
+// in which order, and which are refused. A plain structure under the caller's
+// lock; every function takes the time and returns verdicts.
+#pragma once
+
+#include "core/base/request_context.hpp"
+#include "core/base/time.hpp"
+#include "core/routing/upstream.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+// Names a request at one gate; chosen by the caller, unique in its lifetime.
+using gate_ticket = std::uint64_t;
+
+struct gate_request
+{
+    gate_ticket ticket = 0;
+    request_context context;
+    time_point arrived{};
+};
+
+// What happens to a request that was offered, now or earlier.
+struct gate_verdict
+{
+    gate_ticket ticket = 0;
+    // Run it when `none`; otherwise it has not run and never will.
+    refusal reason = refusal::none;
+};
+
+using gate_verdicts = std::vector<gate_verdict>;
+
+// How a started request ended, for learning the limit.
+enum class gate_result : std::uint8_t
+{
+    replied,
+    // The upstream itself refused for load.
+    shed,
+    failed,
+    timed_out,
+    cancelled
+};
+
+struct gate_state
+{
+    upstream_record upstream;
+    std::uint32_t limit = 0;
+    std::unordered_map<gate_ticket, time_point> running;
+    std::deque<gate_request> queue;
+};
+
+// Takes a new announcement of the local upstream. A draining or absent one
+// starts nothing more; what is queued is refused.
+[[nodiscard]] gate_verdicts gate_set_upstream(
+    gate_state& gate, const upstream_record& record, time_point now);
+
+// Offers a request. It is started, refused or queued; when queued, its verdict
+// comes from a later call.
+[[nodiscard]] gate_verdicts
+gate_offer(gate_state& gate, gate_request request, time_point now);
+
+// A started request ended.
+[[nodiscard]] gate_verdicts gate_finish(
+    gate_state& gate, gate_ticket ticket, gate_result result, time_point now);
+
+// The caller of a queued request has gone. Returns verdicts for others; a
+// started request is finished with gate_finish instead.
+[[nodiscard]] gate_verdicts
+gate_cancel(gate_state& gate, gate_ticket ticket, time_point now);
+
+// Drops expired work and adapts the limit. Called at least every 10 ms while
+// requests are queued or running.
+[[nodiscard]] gate_verdicts gate_tick(gate_state& gate, time_point now);
+
+// The report that rides on replies.
+[[nodiscard]] load_report gate_report(const gate_state& gate, time_point now);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/node/control.cpp
@@ -0,0 +1,110 @@
+#include "core/node/control.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+
+rates_inputs inputs_of_rates(control_state& state)
+{
+    return {*state.chain.current, state.membership, *state.limiter};
+}
+
+claims_inputs inputs_of_claims(const control_state& state)
+{
+    return {
+        *state.chain.current, state.membership, state.rates,
+        state.wall_clock_ms};
+}
+
+void control_start(
+    control_state& state, const control_settings& settings,
+    rate_limiter& limiter, std::uint64_t wall_clock_ms, time_point now,
+    random_source& random, control_actions& actions)
+{
+    state.limiter = &limiter;
+    state.wall_clock_ms = wall_clock_ms;
+    membership_start(
+        state.membership, settings.membership, wall_clock_ms, now, random,
+        actions);
+    chain_start(state.chain, settings.chain, now, random, actions);
+    rates_start(state.rates, settings.rates, now, random, actions);
+    claims_start(state.claims, settings.claims, now, random, actions);
+}
+
+void control_tick(
+    control_state& state, std::uint64_t wall_clock_ms, time_point now,
+    random_source& random, control_actions& actions)
+{
+    state.wall_clock_ms = wall_clock_ms;
+    membership_tick(state.membership, now, random, actions);
+    chain_tick(state.chain, state.membership, now, random, actions);
+    rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
+    claims_tick(state.claims, inputs_of_claims(state), now, random, actions);
+}
+
+void control_on_message(
+    control_state& state, const incoming_message& message, time_point now,
+    random_source& random, control_actions& actions)
+{
+    switch (message.kind)
+    {
+    case message_kind::membership:
+        membership_on_message(state.membership, message, now, random, actions);
+        return;
+    case message_kind::configuration:
+        chain_on_message(
+            state.chain, state.membership, message, now, random, actions);
+        return;
+    case message_kind::rates:
+        rates_on_message(
+            state.rates, inputs_of_rates(state), message, now, random, actions);
+        return;
+    case message_kind::claims:
+        claims_on_message(
+            state.claims, inputs_of_claims(state), message, now, random,
+            actions);
+        return;
+    case message_kind::quarantine:
+        return;
+    }
+}
+
+void control_on_platform_reply(
+    control_state& state, const platform_reply& reply, time_point now,
+    random_source& random, control_actions& actions)
+{
+    switch (reply.client)
+    {
+    case platform_client::membership:
+        membership_on_platform_reply(
+            state.membership, reply, now, random, actions);
+        return;
+    case platform_client::configuration:
+    case platform_client::intent:
+        chain_on_platform_reply(
+            state.chain, state.membership, reply, now, random, actions);
+        return;
+    case platform_client::roster:
+        rates_on_platform_reply(
+            state.rates, inputs_of_rates(state), reply, now, random, actions);
+        return;
+    }
+}
+
+time_point control_due(const control_state& state)
+{
+    return std::min(
+        {membership_due(state.membership), chain_due(state.chain),
+         rates_due(state.rates), claims_due(state.claims)});
+}
+
+void control_leave(
+    control_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    rates_leave(state.rates, inputs_of_rates(state), now, random, actions);
+    membership_leave(state.membership, now, random, actions);
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/request/call.hpp
@@ -0,0 +1,129 @@
+// One call at the node where it entered: admission, tokens, claim, routing,
+// attempts and retries. Each function returns the single next step; the
+// adapter, or a test, carries it out and comes back with what happened.
+#pragma once
+
+#include "core/base/random.hpp"
+#include "core/base/request_context.hpp"
+#include "core/base/snapshot_cell.hpp"
+#include "core/claims/claim.hpp"
+#include "core/rates/rate_limiter.hpp"
+#include "core/request/request_tables.hpp"
+#include "core/routing/routing.hpp"
+#include "ports/events.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+// What the request path of one node shares between its threads.
+struct request_path
+{
+    host_id self = host_id::none;
+    std::string fleet_secret;
+    snapshot_cell<request_tables> tables;
+    snapshot_cell<routing_view> routing;
+    rate_limiter limiter;
+    std::atomic<bool> draining{false};
+};
+
+// What the caller's HTTP request says, the key removed from its headers.
+struct call_request
+{
+    std::string method;
+    // Path and query.
+    std::string target;
+    std::optional<std::string> key;
+    std::optional<std::chrono::milliseconds> timeout;
+    std::string idempotency_key;
+    std::optional<std::uint64_t> body_size;
+    // Set for a child call: the context of the parent's request.
+    std::optional<request_context> parent;
+};
+
+enum class call_step_kind : std::uint8_t
+{
+    // Answer the caller with `reason`, `result`, `retry_after`.
+    refuse,
+    // Answer from `reply`, kept from an earlier run of the same request.
+    answer_stored,
+    // Wait for the token waiter with the call's id, then call_on_token.
+    wait_for_token,
+    // Ask for a claim, then call_on_claim.
+    ask_claim,
+    // Send the request to `target` with `context`, then call_on_attempt.
+    attempt,
+    // The attempt's reply goes to the caller as it is.
+    deliver
+};
+
+struct call_step
+{
+    call_step_kind kind = call_step_kind::refuse;
+    refusal reason = refusal::internal_error;
+    outcome result = outcome::not_run;
+    duration retry_after{};
+    stored_reply reply;
+    claim_question question;
+    routing_candidate target;
+    request_context context;
+};
+
+// What the adapter keeps for one call.
+struct call_state
+{
+    // Unique at this node; token waiter and claim token are equal to it.
+    std::uint64_t id = 0;
+    request_context context;
+    bool needs_claim = false;
+    // A byte of the request may have reached an upstream.
+    bool may_have_run = false;
+    std::uint32_t attempts = 0;
+    std::vector<host_id> tried;
+    // The attempt under way.
+    routing_candidate target;
+    time_point attempt_started{};
+};
+
+struct attempt_result
+{
+    attempt_status status = attempt_status::failed;
+    // For `refused`: why, and what the upstream's node says became of it.
+    refusal reason = refusal::none;
+    outcome result = outcome::unknown;
+    // The HTTP status of a reply.
+    unsigned http_status = 0;
+    // No byte of the request was handed to a link or upstream.
+    bool sent = true;
+    // The request's body can be sent again.
+    bool replayable = true;
+    std::optional<load_report> load;
+    // What the attempt and its children did not use.
+    std::uint16_t returned_allowance = 0;
+    duration latency{};
+};
+
+[[nodiscard]] call_step begin_call(
+    request_path& path, call_state& call, const call_request& request,
+    time_point now, random_source& random);
+[[nodiscard]] call_step call_on_token(
+    request_path& path, call_state& call, bool admitted, time_point now,
+    random_source& random);
+[[nodiscard]] call_step call_on_claim(
+    request_path& path, call_state& call, const claim_answer& answer,
+    time_point now, random_source& random);
+
+// An attempt was answered or failed. For a reply this is called when its head
+// has arrived, so that it may still be dropped for a retry.
+[[nodiscard]] call_step call_on_attempt(
+    request_path& path, call_state& call, const attempt_result& result,
+    time_point now, random_source& random);
+
+// The call is over, whatever its way; releases what it holds.
+void end_call(request_path& path, call_state& call, time_point now);
+
+} // namespace cyclamenhold
