Carry requests between callers, nodes and upstreams

Cause: the decisions need a path for bytes. Change: frame codec, peer handshake, links and streams with credit and checksum, gate front, upstream client and pool, caller sessions and the driver of the call machine.

--- /dev/null
+++ b/src/adapters/call_driver.cpp
@@ -0,0 +1,393 @@
+#include "adapters/call_driver.hpp"
+
+#include "adapters/clock.hpp"
+#include "adapters/http_fields.hpp"
+#include "adapters/reply_writer.hpp"
+
+#include <sys/socket.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// The request as one attempt after another sees it.
+struct call_run
+{
+    caller_ptr caller;
+    running_request_ptr parent;
+    call_state state;
+    request_head head;
+    // More of the body than the prefix has gone to an upstream.
+    bool body_spent = false;
+    exchange_ptr work;
+    reply_event first;
+};
+
+void record(
+    const call_run& run, event_kind kind, host_id peer, std::string detail)
+{
+    event seen;
+    seen.kind = kind;
+    seen.trace = run.state.context.trace;
+    seen.workspace = run.state.context.workspace;
+    seen.peer = peer;
+    seen.detail = std::move(detail);
+    run.caller->thread.services.record(seen);
+}
+
+// Cancels the attempt under way when the caller's connection ends. A wait that
+// outlives its request completes with the next one's first byte.
+void watch_for_hang_up(const caller_ptr& caller)
+{
+    if (caller->watching)
+    {
+        return;
+    }
+    caller->watching = true;
+    caller->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [caller](const boost::system::error_code& error)
+        {
+            caller->watching = false;
+            char byte = 0;
+            const bool ended =
+                error || ::recv(
+                             caller->stream.socket().native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT) == 0;
+            if (!ended)
+            {
+                return;
+            }
+            caller->gone = true;
+            if (const auto work = caller->current.lock())
+            {
+                cancel(*work);
+            }
+        });
+}
+
+asio::awaitable<bool> read_more(caller_connection& caller, std::string& bytes)
+{
+    bytes.resize(max_chunk_bytes);
+    auto& body = caller.parser->get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    caller.stream.expires_after(
+        caller.thread.services.limits.body_stall_timeout);
+    const auto [error, count] = co_await http::async_read(
+        caller.stream, caller.buffer, *caller.parser,
+        asio::as_tuple(asio::use_awaitable));
+    bytes.resize(bytes.size() - body.size);
+    co_return !error || error == http::error::need_buffer;
+}
+
+// Moves the rest of a long body from the caller to the attempt.
+asio::awaitable<void> pump_rest(caller_ptr caller, exchange_ptr work)
+{
+    bool last = false;
+    while (!last)
+    {
+        body_chunk chunk;
+        if (!co_await read_more(*caller, chunk.bytes))
+        {
+            caller->gone = true;
+            cancel(*work);
+            co_return;
+        }
+        last = caller->parser->is_done();
+        chunk.last = last;
+        caller->body_complete = last;
+        const auto [error] = co_await work->body.async_send(
+            boost::system::error_code(), std::move(chunk),
+            asio::as_tuple(asio::use_awaitable));
+        if (error)
+        {
+            co_return;
+        }
+    }
+    watch_for_hang_up(caller);
+}
+
+void dispatch(call_run& run, const call_step& step)
+{
+    request_thread& thread = run.caller->thread;
+    const host_id target = step.target.location.host;
+    const bool local = target == thread.services.self;
+    run.work = std::make_shared<exchange>(
+        thread.io.get_executor(), waiting_chunk_capacity,
+        local ? waiting_chunk_capacity : credited_chunk_capacity);
+    run.work->context = step.context;
+    run.work->head = run.head;
+    run.work->target_incarnation = step.target.location.host_incarnation;
+    run.caller->current = run.work;
+    if (run.caller->gone)
+    {
+        cancel(*run.work);
+    }
+    if (run.parent)
+    {
+        add_child(*run.parent, run.work);
+    }
+    run.work->body.try_send(
+        boost::system::error_code(),
+        body_chunk{run.caller->prefix, run.caller->body_complete});
+    record(run, event_kind::attempt_started, target, {});
+    if (local)
+    {
+        thread.services.run_local(run.work);
+        return;
+    }
+    send_exchange(thread.links, target, run.work);
+}
+
+// What the first event of the attempt, or the lack of one, amounts to.
+attempt_result result_of(const call_run& run, bool closed, bool timed_out)
+{
+    attempt_result result;
+    result.replayable = !run.body_spent;
+    result.sent = !run.work->untouched;
+    result.load = run.first.load;
+    result.returned_allowance = run.first.returned_allowance;
+    result.latency = now() - run.state.attempt_started;
+    if (closed)
+    {
+        result.status =
+            timed_out ? attempt_status::timed_out : attempt_status::cancelled;
+        result.reason =
+            timed_out ? refusal::deadline_exceeded : refusal::cancelled;
+        result.result = result.sent ? outcome::unknown : outcome::not_run;
+        return result;
+    }
+    if (run.first.failure)
+    {
+        result.reason = run.first.failure->reason;
+        result.result = run.first.failure->result;
+        const bool refused = result.result == outcome::not_run;
+        result.status = refused ? attempt_status::refused
+                        : result.reason == refusal::deadline_exceeded
+                            ? attempt_status::timed_out
+                            : attempt_status::failed;
+        return result;
+    }
+    result.status = attempt_status::replied;
+    result.result = outcome::ran;
+    result.http_status = run.first.head->status;
+    return result;
+}
+
+// Sends the request and waits for the first event that says how it went.
+asio::awaitable<attempt_result> attempt(call_run& run, const call_step& step)
+{
+    dispatch(run, step);
+    const auto work = run.work;
+    auto timed_out = std::make_shared<bool>(false);
+    asio::steady_timer deadline(
+        run.caller->thread.io.get_executor(), run.state.context.deadline);
+    deadline.async_wait(
+        [work, timed_out](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                *timed_out = true;
+                cancel(*work);
+            }
+        });
+    bool closed = false;
+    while (true)
+    {
+        auto [error, event] = co_await work->reply.async_receive(
+            asio::as_tuple(asio::use_awaitable));
+        closed = static_cast<bool>(error);
+        run.first = std::move(event);
+        if (closed || !run.first.started)
+        {
+            break;
+        }
+        if (!run.caller->body_complete && !run.body_spent)
+        {
+            run.body_spent = true;
+            asio::co_spawn(
+                run.caller->thread.io, pump_rest(run.caller, work),
+                asio::detached);
+        }
+    }
+    const auto result = result_of(run, closed, *timed_out);
+    record(
+        run, event_kind::attempt_ended, step.target.location.host,
+        result.status == attempt_status::replied
+            ? std::to_string(result.http_status)
+            : std::string(name_of(result.reason)));
+    co_return result;
+}
+
+// Waits for the control thread; an empty wakeup at the deadline.
+asio::awaitable<std::optional<call_wakeup>> wait_for_wakeup(call_run& run)
+{
+    request_thread& thread = run.caller->thread;
+    const auto channel =
+        begin_wait(thread.wakeups, run.state.id, thread.io.get_executor());
+    asio::steady_timer deadline(
+        thread.io.get_executor(), run.state.context.deadline);
+    deadline.async_wait(
+        [channel](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                channel->close();
+            }
+        });
+    auto [error, wakeup] =
+        co_await channel->async_receive(asio::as_tuple(asio::use_awaitable));
+    end_wait(thread.wakeups, run.state.id);
+    if (error)
+    {
+        co_return std::nullopt;
+    }
+    co_return wakeup;
+}
+
+asio::awaitable<call_step> wait_for_token(call_run& run)
+{
+    const auto wakeup = co_await wait_for_wakeup(run);
+    const bool admitted = wakeup && wakeup->admitted;
+    co_return call_on_token(
+        run.caller->thread.services.path, run.state, admitted, now(),
+        run.caller->thread.random);
+}
+
+asio::awaitable<call_step>
+wait_for_claim(call_run& run, const claim_question& question)
+{
+    run.caller->thread.control.ask_claim(question);
+    const auto wakeup = co_await wait_for_wakeup(run);
+    claim_answer answer;
+    answer.token = run.state.id;
+    if (wakeup)
+    {
+        answer = wakeup->answer;
+    }
+    co_return call_on_claim(
+        run.caller->thread.services.path, run.state, answer, now(),
+        run.caller->thread.random);
+}
+
+void complete_claim(
+    const call_run& run, outcome result, const delivered_reply& delivered)
+{
+    if (run.state.context.claim.claim_id == 0)
+    {
+        return;
+    }
+    claim_completion completion;
+    completion.grant = run.state.context.claim;
+    completion.workspace = run.state.context.workspace;
+    completion.idempotency_key = run.state.context.idempotency_key;
+    completion.result = result;
+    if (result == outcome::ran && delivered.body_held)
+    {
+        completion.reply = {
+            delivered.status, delivered.content_type, delivered.body};
+    }
+    run.caller->thread.control.complete_claim(completion);
+}
+
+asio::awaitable<void> finish(call_run& run, const call_step& step)
+{
+    const trace_id trace = run.state.context.trace;
+    switch (step.kind)
+    {
+    case call_step_kind::deliver:
+    {
+        const auto delivered = co_await deliver_reply(
+            run.caller, run.work, std::move(run.first), trace);
+        complete_claim(
+            run,
+            delivered.whole || delivered.status != 0 ? outcome::ran
+                                                     : outcome::unknown,
+            delivered);
+        record(
+            run,
+            delivered.whole ? event_kind::request_answered
+                            : event_kind::request_cancelled,
+            host_id::none, std::to_string(delivered.status));
+        co_return;
+    }
+    case call_step_kind::answer_stored:
+        record(
+            run, event_kind::request_answered, host_id::none,
+            "from the record");
+        co_await write_stored(run.caller, step.reply, trace);
+        co_return;
+    default:
+        complete_claim(run, step.result, {});
+        record(
+            run, event_kind::request_refused, host_id::none,
+            std::string(name_of(step.reason)) + ", " +
+                std::string(name_of(step.result)));
+        co_await write_refusal(
+            run.caller, step.reason, step.result, step.retry_after, trace);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void>
+run_call(caller_ptr caller, call_request request, running_request_ptr parent)
+{
+    request_thread& thread = caller->thread;
+    request_path& path = thread.services.path;
+    call_run run;
+    run.caller = caller;
+    run.parent = std::move(parent);
+    run.state.id = thread.services.next_call++;
+    run.head.method = request.method;
+    run.head.target = request.target;
+    run.head.headers = forwarded_fields(
+        caller->parser->get().base(), request.key.value_or(std::string()));
+    run.head.body_size = request.body_size;
+    if (caller->body_complete)
+    {
+        watch_for_hang_up(caller);
+    }
+    call_step step = begin_call(path, run.state, request, now(), thread.random);
+    record(
+        run, event_kind::request_received, host_id::none,
+        request.method + ' ' + request.target);
+    while (true)
+    {
+        if (step.kind == call_step_kind::wait_for_token)
+        {
+            step = co_await wait_for_token(run);
+        }
+        else if (step.kind == call_step_kind::ask_claim)
+        {
+            step = co_await wait_for_claim(run, step.question);
+        }
+        else if (step.kind == call_step_kind::attempt)
+        {
+            const auto result = co_await attempt(run, step);
+            step =
+                call_on_attempt(path, run.state, result, now(), thread.random);
+            if (step.kind != call_step_kind::deliver)
+            {
+                cancel(*run.work);
+            }
+        }
+        else
+        {
+            break;
+        }
+    }
+    co_await finish(run, step);
+    end_call(path, run.state, now());
+    if (run.work)
+    {
+        cancel(*run.work);
+    }
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/call_driver.hpp
@@ -0,0 +1,90 @@
+// Drives one call from a parsed request to its answer: carries out the steps
+// of the call machine on one request thread.
+#pragma once
+
+#include "adapters/call_handles.hpp"
+#include "adapters/call_wakeups.hpp"
+#include "adapters/exchange.hpp"
+#include "adapters/local_gate.hpp"
+#include "adapters/node_services.hpp"
+#include "adapters/peer_links.hpp"
+#include "core/request/call.hpp"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cyclamenhold
+{
+
+// What the request path asks of the control thread, from any thread.
+struct control_port
+{
+    std::function<void(const claim_question&)> ask_claim;
+    std::function<void(const claim_completion&)> complete_claim;
+    // Calls back with a new ticket; empty when none can be issued.
+    std::function<void(std::function<void(std::string)>)> issue_ticket;
+};
+
+// One of the threads that serve requests, and what belongs to it.
+struct request_thread
+{
+    request_thread(
+        node_services& shared, local_gate& front, call_wakeups& wakeups,
+        control_port& control_side, std::uint64_t seed)
+        : services(shared),
+          gate(front),
+          wakeups(wakeups),
+          control(control_side),
+          links(shared, io.get_executor()),
+          random(seed)
+    {
+    }
+
+    node_services& services;
+    local_gate& gate;
+    call_wakeups& wakeups;
+    control_port& control;
+    asio::io_context io{1};
+    peer_links links;
+    random_source random;
+};
+
+using caller_parser =
+    boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+// A caller's connection with the request that is being read from it.
+struct caller_connection
+{
+    caller_connection(request_thread& owner, asio::ip::tcp::socket socket)
+        : thread(owner), stream(std::move(socket))
+    {
+    }
+
+    request_thread& thread;
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    std::unique_ptr<caller_parser> parser;
+    // The first bytes of the body, at most max_chunk_bytes.
+    std::string prefix;
+    // The prefix is the whole body.
+    bool body_complete = false;
+    // The attempt under way; cancelled when the caller hangs up.
+    std::weak_ptr<exchange> current;
+    bool watching = false;
+    bool gone = false;
+    // Answered so that the connection cannot carry another request.
+    bool must_close = false;
+};
+
+using caller_ptr = std::shared_ptr<caller_connection>;
+
+// Runs the request whose head and prefix have been read. `parent` is set for a
+// child call of the local upstream.
+[[nodiscard]] asio::awaitable<void>
+run_call(caller_ptr caller, call_request request, running_request_ptr parent);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/caller_session.hpp
@@ -0,0 +1,46 @@
+// Callers' connections: HTTP/1.1 with keep-alive, limits and timeouts. The same
+// session serves the loopback port on which the local upstream announces itself
+// and makes its child calls.
+#pragma once
+
+#include "adapters/call_driver.hpp"
+#include "core/routing/upstream.hpp"
+
+#include <functional>
+
+namespace cyclamenhold
+{
+
+enum class session_side : std::uint8_t
+{
+    callers,
+    upstream
+};
+
+// What the local upstream says of itself.
+struct upstream_announcement
+{
+    upstream_record record;
+    asio::ip::tcp::endpoint endpoint;
+    std::chrono::milliseconds warm_up{};
+};
+
+// What sessions on the upstream's port ask of the node.
+struct upstream_port
+{
+    std::function<void(const upstream_announcement&)> announce;
+    std::function<void()> drain;
+    std::function<void()> leave;
+};
+
+struct session_settings
+{
+    session_side side = session_side::callers;
+    upstream_port* upstream = nullptr;
+};
+
+// Serves one connection until it ends.
+[[nodiscard]] asio::awaitable<void>
+serve_caller(caller_ptr caller, session_settings settings);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/local_gate.cpp
@@ -0,0 +1,205 @@
+#include "adapters/local_gate.hpp"
+
+#include "adapters/clock.hpp"
+#include "adapters/upstream_client.hpp"
+
+namespace cyclamenhold
+{
+namespace
+{
+
+void record(
+    local_gate& gate, event_kind kind, const request_context& context,
+    std::string detail)
+{
+    event seen;
+    seen.kind = kind;
+    seen.trace = context.trace;
+    seen.workspace = context.workspace;
+    seen.detail = std::move(detail);
+    gate.services.record(seen);
+}
+
+void settle(local_gate& gate, const gate_verdicts& verdicts);
+
+// Carries one started request to the upstream and settles it with the gate.
+asio::awaitable<void> run_started(
+    local_gate* gate, exchange_ptr work, gate_ticket ticket,
+    upstream_connection_ptr connection)
+{
+    const auto request = begin_running(gate->handles, work->context);
+    upstream_call call;
+    call.work = work;
+    call.connection = connection;
+    {
+        const std::scoped_lock lock(gate->pool.mutex);
+        call.endpoint = gate->pool.endpoint;
+    }
+    call.handle = request->handle;
+    call.body_stall_timeout = gate->services.limits.body_stall_timeout;
+    call.report = [gate]
+    {
+        return report_of(*gate);
+    };
+    call.returned_allowance = []
+    {
+        return std::uint16_t{0};
+    };
+    const auto [result, reusable] = co_await call_upstream(std::move(call));
+    end_running(gate->handles, request);
+    if (reusable)
+    {
+        return_connection(gate->pool, connection);
+    }
+    gate_verdicts verdicts;
+    {
+        const std::scoped_lock lock(gate->mutex);
+        verdicts = gate_finish(gate->gate, ticket, result, now());
+    }
+    --gate->running;
+    settle(*gate, verdicts);
+}
+
+void start(local_gate& gate, const exchange_ptr& work, gate_ticket ticket)
+{
+    ++gate.running;
+    record(gate, event_kind::gate_started, work->context, {});
+    const std::size_t turn = gate.next_executor++ % gate.executors.size();
+    auto connection = take_connection(gate.pool, gate.executors[turn]);
+    const auto executor = connection->stream.get_executor();
+    asio::co_spawn(
+        executor, run_started(&gate, work, ticket, std::move(connection)),
+        asio::detached);
+}
+
+void refuse(local_gate& gate, const exchange_ptr& work, refusal reason)
+{
+    record(
+        gate, event_kind::gate_refused, work->context,
+        std::string(name_of(reason)));
+    fail(*work, {reason, outcome::not_run}, report_of(gate));
+}
+
+void settle(local_gate& gate, const gate_verdicts& verdicts)
+{
+    for (const auto& [ticket, reason] : verdicts)
+    {
+        exchange_ptr work;
+        {
+            const std::scoped_lock lock(gate.mutex);
+            const auto found = gate.waiting.find(ticket);
+            if (found == gate.waiting.end())
+            {
+                continue;
+            }
+            work = std::move(found->second);
+            gate.waiting.erase(found);
+        }
+        if (reason == refusal::none)
+        {
+            start(gate, work, ticket);
+            continue;
+        }
+        refuse(gate, work, reason);
+    }
+}
+
+void cancel_waiting(local_gate& gate, gate_ticket ticket)
+{
+    gate_verdicts verdicts;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        if (gate.waiting.erase(ticket) == 0)
+        {
+            return;
+        }
+        verdicts = gate_cancel(gate.gate, ticket, now());
+    }
+    settle(gate, verdicts);
+}
+
+void offer(local_gate& gate, const exchange_ptr& work)
+{
+    const gate_ticket ticket = gate.next_ticket++;
+    gate_verdicts verdicts;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        gate.waiting.emplace(ticket, work);
+        verdicts = gate_offer(gate.gate, {ticket, work->context, now()}, now());
+    }
+    set_abort(
+        *work,
+        [&gate, ticket]
+        {
+            cancel_waiting(gate, ticket);
+        });
+    settle(gate, verdicts);
+}
+
+} // namespace
+
+void run_at_gate(local_gate& gate, const exchange_ptr& work)
+{
+    if (work->target_incarnation != 0 &&
+        work->target_incarnation != gate.services.self_incarnation)
+    {
+        refuse(gate, work, refusal::no_upstream);
+        return;
+    }
+    if (work->context.claim.steward_epoch == 0)
+    {
+        offer(gate, work);
+        return;
+    }
+    gate.check_claim(
+        work->context.claim,
+        [&gate, work](bool accepted)
+        {
+            if (accepted)
+            {
+                offer(gate, work);
+                return;
+            }
+            refuse(gate, work, refusal::claim_unavailable);
+        });
+}
+
+void set_upstream(
+    local_gate& gate, const upstream_record& record,
+    const asio::ip::tcp::endpoint& endpoint)
+{
+    if (record.state != upstream_state::absent)
+    {
+        set_endpoint(gate.pool, endpoint);
+    }
+    gate_verdicts verdicts;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        verdicts = gate_set_upstream(gate.gate, record, now());
+    }
+    settle(gate, verdicts);
+}
+
+void tick_gate(local_gate& gate)
+{
+    gate_verdicts verdicts;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        verdicts = gate_tick(gate.gate, now());
+    }
+    settle(gate, verdicts);
+}
+
+load_report report_of(local_gate& gate)
+{
+    const std::scoped_lock lock(gate.mutex);
+    return gate_report(gate.gate, now());
+}
+
+std::size_t requests_at(local_gate& gate)
+{
+    const std::scoped_lock lock(gate.mutex);
+    return gate.waiting.size() + gate.running;
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/local_gate.hpp
@@ -0,0 +1,60 @@
+// The gate's front in the real node: requests for the local upstream from any
+// thread pass the gate, run over a pooled connection and report their end.
+#pragma once
+
+#include "adapters/call_handles.hpp"
+#include "adapters/exchange.hpp"
+#include "adapters/node_services.hpp"
+#include "adapters/upstream_pool.hpp"
+#include "core/gate/gate.hpp"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct local_gate
+{
+    explicit local_gate(node_services& shared) : services(shared) {}
+
+    node_services& services;
+    // Threads that requests run on, in turn.
+    std::vector<asio::any_io_executor> executors;
+    std::atomic<std::size_t> next_executor{0};
+    call_handles handles;
+    upstream_pool pool;
+
+    std::mutex mutex;
+    // Guarded by mutex, as is `waiting`.
+    gate_state gate;
+    std::unordered_map<gate_ticket, exchange_ptr> waiting;
+    std::atomic<gate_ticket> next_ticket{1};
+    // Requests that are running now.
+    std::atomic<std::uint32_t> running{0};
+    // Asks the control thread whether a claim may still be used, and calls
+    // back with the answer.
+    std::function<void(const claim_grant&, std::function<void(bool)>)>
+        check_claim;
+};
+
+// Runs a request: exactly one reply or failure comes through the exchange.
+void run_at_gate(local_gate& gate, const exchange_ptr& work);
+
+// Takes a change of the local upstream.
+void set_upstream(
+    local_gate& gate, const upstream_record& record,
+    const asio::ip::tcp::endpoint& endpoint);
+
+// Drops expired work; called about every 10 ms.
+void tick_gate(local_gate& gate);
+
+[[nodiscard]] load_report report_of(local_gate& gate);
+
+// Requests that wait or run.
+[[nodiscard]] std::size_t requests_at(local_gate& gate);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/node_services.hpp
@@ -0,0 +1,56 @@
+// What the adapters of one node share: the request path, the gate's front, the
+// clock of events and the ways to reach the other threads. Built once by the
+// node's runtime and alive until all threads have stopped.
+#pragma once
+
+#include "adapters/exchange.hpp"
+#include "core/base/ids.hpp"
+#include "core/request/call.hpp"
+#include "ports/events.hpp"
+#include "ports/messages.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace cyclamenhold
+{
+
+// Limits on what callers and upstreams may send.
+struct http_limits
+{
+    std::uint32_t max_header_bytes = 16 * 1024;
+    std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+    std::chrono::milliseconds header_timeout{10'000};
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::milliseconds body_stall_timeout{10'000};
+    std::uint32_t max_connections = 10'000;
+};
+
+// A peer link sends one of these each interval, and gives a link up that has
+// been silent for the timeout.
+constexpr auto heartbeat_interval = std::chrono::milliseconds(500);
+constexpr auto heartbeat_timeout = std::chrono::milliseconds(2'000);
+
+struct node_services
+{
+    host_id self = host_id::none;
+    incarnation self_incarnation = 0;
+    std::string fleet_secret;
+    http_limits limits;
+    request_path path;
+    std::atomic<std::uint64_t> next_call{1};
+
+    // Records an event; callable from any thread.
+    std::function<void(const event&)> record;
+    // Runs a request that came for the local upstream, from any thread.
+    std::function<void(const exchange_ptr&)> run_local;
+    // Hands a control message of a peer to the control thread.
+    std::function<void(host_id, message_kind, std::vector<std::uint8_t>)>
+        on_control_message;
+    // Any authenticated sign of life of a peer, for membership.
+    std::function<void(host_id)> on_peer_heard;
+};
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/peer_socket.cpp
@@ -0,0 +1,232 @@
+#include "adapters/peer_socket.hpp"
+
+#include "adapters/clock.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr std::size_t read_size_bytes = 64 * 1024;
+// Bounds one wait for room, after which the condition is looked at again.
+constexpr auto room_wait_limit = std::chrono::seconds(1);
+
+// Moves a whole frame from the receive buffer to `payload`, if there is one.
+bool take_frame(
+    peer_socket& peer, std::vector<std::uint8_t>& payload, bool& too_long)
+{
+    const std::span<const std::uint8_t> available(
+        peer.received.data() + peer.received_begin,
+        peer.received.size() - peer.received_begin);
+    if (available.size() < frame_prefix_bytes)
+    {
+        return false;
+    }
+    const std::uint32_t length = frame_length(available);
+    too_long = length > max_frame_bytes;
+    if (too_long || available.size() < frame_prefix_bytes + length)
+    {
+        return false;
+    }
+    const auto body = available.subspan(frame_prefix_bytes, length);
+    payload.assign(body.begin(), body.end());
+    peer.received_begin += frame_prefix_bytes + length;
+    return true;
+}
+
+void compact(peer_socket& peer)
+{
+    peer.received.erase(
+        peer.received.begin(),
+        peer.received.begin() +
+            static_cast<std::ptrdiff_t>(peer.received_begin));
+    peer.received_begin = 0;
+}
+
+asio::awaitable<void> write_pending(peer_socket_ptr peer)
+{
+    while (!peer->closed && !peer->pending.empty())
+    {
+        peer->in_flight.clear();
+        std::swap(peer->in_flight, peer->pending);
+        peer->room.cancel();
+        const auto [error, written] = co_await asio::async_write(
+            peer->socket, asio::buffer(peer->in_flight),
+            asio::as_tuple(asio::use_awaitable));
+        if (error)
+        {
+            close(*peer);
+        }
+        peer->written_at = now();
+    }
+    peer->writing = false;
+}
+
+bool is_sound(const wire::hello& hello)
+{
+    return hello.protocol() == peer_protocol_version &&
+           hello.nonce()->size() == handshake_nonce_bytes;
+}
+
+handshake_nonce nonce_of(const wire::hello& hello)
+{
+    handshake_nonce nonce{};
+    std::ranges::copy(*hello.nonce(), nonce.begin());
+    return nonce;
+}
+
+// Reads the other side's hello and remembers who it says it is.
+asio::awaitable<absl::Status>
+receive_hello(peer_socket& peer, handshake_nonce& nonce)
+{
+    std::vector<std::uint8_t> payload;
+    if (auto status = co_await read_frame(peer, payload); !status.ok())
+    {
+        co_return status;
+    }
+    const wire::frame* const frame = decode_frame(payload);
+    const auto* const hello = frame ? frame->body_as_hello() : nullptr;
+    if (hello == nullptr || !is_sound(*hello))
+    {
+        co_return absl::InvalidArgumentError("not a hello of this protocol");
+    }
+    peer.peer = static_cast<host_id>(hello->host());
+    peer.peer_incarnation = hello->incarnation();
+    nonce = nonce_of(*hello);
+    co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status>
+receive_proof(peer_socket& peer, const handshake_proof& expected)
+{
+    std::vector<std::uint8_t> payload;
+    if (auto status = co_await read_frame(peer, payload); !status.ok())
+    {
+        co_return status;
+    }
+    const wire::frame* const frame = decode_frame(payload);
+    const auto* const proof = frame ? frame->body_as_proof() : nullptr;
+    if (proof == nullptr ||
+        !equal_proofs({proof->mac()->data(), proof->mac()->size()}, expected))
+    {
+        co_return absl::PermissionDeniedError("the proof is wrong");
+    }
+    co_return absl::OkStatus();
+}
+
+} // namespace
+
+asio::awaitable<absl::Status>
+read_frame(peer_socket& peer, std::vector<std::uint8_t>& payload)
+{
+    bool too_long = false;
+    while (!take_frame(peer, payload, too_long))
+    {
+        if (too_long)
+        {
+            co_return absl::InvalidArgumentError("the frame is too long");
+        }
+        compact(peer);
+        const std::size_t filled = peer.received.size();
+        peer.received.resize(filled + read_size_bytes);
+        const auto [error, count] = co_await peer.socket.async_read_some(
+            asio::buffer(peer.received.data() + filled, read_size_bytes),
+            asio::as_tuple(asio::use_awaitable));
+        peer.received.resize(filled + count);
+        if (error)
+        {
+            co_return absl::UnavailableError(error.message());
+        }
+        peer.heard_at = now();
+    }
+    co_return absl::OkStatus();
+}
+
+void flush(const peer_socket_ptr& peer)
+{
+    if (peer->writing || peer->closed || peer->pending.empty())
+    {
+        return;
+    }
+    peer->writing = true;
+    asio::co_spawn(
+        peer->socket.get_executor(), write_pending(peer), asio::detached);
+}
+
+asio::awaitable<void> wait_for_room(peer_socket& peer)
+{
+    while (!peer.closed && peer.pending.size() > max_pending_bytes)
+    {
+        peer.room.expires_after(room_wait_limit);
+        co_await peer.room.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void close(peer_socket& peer)
+{
+    if (peer.closed)
+    {
+        return;
+    }
+    peer.closed = true;
+    boost::system::error_code ignored;
+    peer.socket.close(ignored);
+    peer.room.cancel();
+}
+
+asio::awaitable<absl::Status> handshake_as_dialler(
+    peer_socket_ptr peer, handshake_identity identity, host_id expected)
+{
+    const handshake_nonce own = make_nonce();
+    handshake_nonce other{};
+    encode_hello(peer->pending, identity.self, identity.self_incarnation, own);
+    flush(peer);
+    if (auto status = co_await receive_hello(*peer, other); !status.ok())
+    {
+        co_return status;
+    }
+    if (peer->peer != expected)
+    {
+        co_return absl::PermissionDeniedError("another host answered");
+    }
+    encode_proof(
+        peer->pending, make_proof(
+                           identity.fleet_secret, handshake_role::dialler,
+                           identity.self, own, peer->peer, other));
+    flush(peer);
+    co_return co_await receive_proof(
+        *peer, make_proof(
+                   identity.fleet_secret, handshake_role::acceptor, peer->peer,
+                   other, identity.self, own));
+}
+
+asio::awaitable<absl::Status>
+handshake_as_acceptor(peer_socket_ptr peer, handshake_identity identity)
+{
+    const handshake_nonce own = make_nonce();
+    handshake_nonce other{};
+    if (auto status = co_await receive_hello(*peer, other); !status.ok())
+    {
+        co_return status;
+    }
+    encode_hello(peer->pending, identity.self, identity.self_incarnation, own);
+    flush(peer);
+    const handshake_proof expected = make_proof(
+        identity.fleet_secret, handshake_role::dialler, peer->peer, other,
+        identity.self, own);
+    if (auto status = co_await receive_proof(*peer, expected); !status.ok())
+    {
+        co_return status;
+    }
+    encode_proof(
+        peer->pending, make_proof(
+                           identity.fleet_secret, handshake_role::acceptor,
+                           identity.self, own, peer->peer, other));
+    flush(peer);
+    co_return absl::OkStatus();
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/peer_streams.hpp
@@ -0,0 +1,106 @@
+// The streams on one peer link: requests this node sent there, and requests
+// the peer sent here. Used from the link's thread only; exchanges cross to
+// other threads through their channels.
+#pragma once
+
+#include "adapters/exchange.hpp"
+#include "adapters/node_services.hpp"
+#include "adapters/peer_socket.hpp"
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+// The bytes of a reply that may be under way unread, and of a request once it
+// has started; before, max_chunk_bytes.
+constexpr std::uint32_t stream_window_bytes = 256 * 1024;
+
+// Length and checksum of the body that flows one way.
+struct body_tally
+{
+    body_tally() : state(XXH3_createState(), XXH3_freeState)
+    {
+        XXH3_64bits_reset(state.get());
+    }
+    void add(std::string_view bytes)
+    {
+        length += bytes.size();
+        XXH3_64bits_update(state.get(), bytes.data(), bytes.size());
+    }
+    [[nodiscard]] std::uint64_t checksum() const
+    {
+        return XXH3_64bits_digest(state.get());
+    }
+
+    std::uint64_t length = 0;
+    std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state;
+};
+
+struct peer_stream
+{
+    peer_stream(exchange_ptr target, const asio::any_io_executor& executor)
+        : work(std::move(target)), credit_signal(executor)
+    {
+    }
+
+    exchange_ptr work;
+    // Bytes that may still be sent, and the signal that there are more.
+    std::int64_t credit = 0;
+    asio::steady_timer credit_signal;
+    // Bytes that the peer may still send; fewer is a protocol error.
+    std::int64_t granted = 0;
+    // Consumed here and not yet granted again.
+    std::uint32_t consumed = 0;
+    body_tally sent;
+    body_tally received;
+    bool opened_here = false;
+    bool started = false;
+    bool finished = false;
+};
+
+using peer_stream_ptr = std::shared_ptr<peer_stream>;
+
+struct peer_link
+{
+    peer_link(node_services& shared, asio::ip::tcp::socket socket)
+        : services(shared),
+          connection(std::make_shared<peer_socket>(std::move(socket))),
+          heartbeat(connection->socket.get_executor())
+    {
+    }
+
+    node_services& services;
+    peer_socket_ptr connection;
+    asio::steady_timer heartbeat;
+    bool dialled_here = false;
+    bool ready = false;
+    // The peer takes no new streams on this link.
+    bool going_away = false;
+    std::uint64_t next_stream = 1;
+    time_point used_at{};
+    std::unordered_map<std::uint64_t, peer_stream_ptr> streams;
+    // Opened before the handshake was done.
+    std::vector<exchange_ptr> waiting;
+    std::vector<outgoing_message> waiting_messages;
+};
+
+using peer_link_ptr = std::shared_ptr<peer_link>;
+
+// Sends a request over the link; its reply comes through the exchange.
+void open_stream(const peer_link_ptr& link, const exchange_ptr& work);
+
+void send_control(const peer_link_ptr& link, const outgoing_message& message);
+
+// Reads frames until the link ends, then ends all of its streams.
+[[nodiscard]] asio::awaitable<void> run_link(peer_link_ptr link);
+
+// Ends the link: requests sent over it fail, those received are cancelled.
+void end_link(const peer_link_ptr& link);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/reply_writer.cpp
@@ -0,0 +1,297 @@
+#include "adapters/reply_writer.hpp"
+
+#include "adapters/http_fields.hpp"
+
+#include <boost/json.hpp>
+
+#include <cmath>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr unsigned http_version_1_1 = 11;
+
+std::string field_name(std::string_view name)
+{
+    return std::string(name);
+}
+
+bool keeps_alive(const caller_connection& caller)
+{
+    return !caller.must_close && caller.body_complete && caller.parser &&
+           caller.parser->get().keep_alive() &&
+           !caller.thread.services.path.draining;
+}
+
+template <class Response>
+void fill_common(
+    Response& response, const caller_connection& caller, trace_id trace,
+    outcome result)
+{
+    response.version(http_version_1_1);
+    response.keep_alive(keeps_alive(caller));
+    response.set(field_name(trace_field), to_string(trace));
+    response.set(field_name(outcome_field), std::string(name_of(result)));
+}
+
+template <class Response>
+void fill_head(
+    Response& response, const caller_connection& caller, const reply_head& head,
+    trace_id trace)
+{
+    response.result(head.status);
+    for (const auto& [name, value] : head.headers)
+    {
+        response.insert(name, value);
+    }
+    fill_common(response, caller, trace, outcome::ran);
+}
+
+template <class Response>
+asio::awaitable<bool> write_message(caller_ptr caller, Response& response)
+{
+    caller->stream.expires_after(
+        caller->thread.services.limits.body_stall_timeout);
+    const auto [error, count] = co_await http::async_write(
+        caller->stream, response, asio::as_tuple(asio::use_awaitable));
+    if (error || !response.keep_alive())
+    {
+        caller->must_close = true;
+    }
+    co_return !error;
+}
+
+void keep(delivered_reply& delivered, std::string_view bytes)
+{
+    if (delivered.body.size() + bytes.size() > max_stored_reply_bytes)
+    {
+        delivered.body_held = false;
+        delivered.body.clear();
+    }
+    if (delivered.body_held)
+    {
+        delivered.body += bytes;
+    }
+}
+
+// A reply that came whole with its head.
+asio::awaitable<bool>
+write_whole(caller_ptr caller, reply_event& event, trace_id trace)
+{
+    http::response<http::string_body> response;
+    fill_head(response, *caller, *event.head, trace);
+    const bool bodyless = caller->parser->get().method() == http::verb::head ||
+                          event.head->status == 204 ||
+                          event.head->status == 304;
+    if (bodyless)
+    {
+        http::response<http::empty_body> empty(std::move(response.base()));
+        if (event.head->body_size)
+        {
+            empty.content_length(*event.head->body_size);
+        }
+        co_return co_await write_message(caller, empty);
+    }
+    response.body() = std::move(event.bytes);
+    response.content_length(response.body().size());
+    co_return co_await write_message(caller, response);
+}
+
+using stream_serializer = http::response_serializer<http::buffer_body>;
+
+asio::awaitable<bool> write_piece(
+    caller_ptr caller, stream_serializer& serializer,
+    http::response<http::buffer_body>& response, reply_event& event)
+{
+    response.body().data = event.bytes.empty() ? nullptr : event.bytes.data();
+    response.body().size = event.bytes.size();
+    response.body().more = !event.last;
+    caller->stream.expires_after(
+        caller->thread.services.limits.body_stall_timeout);
+    const auto [error, count] = co_await http::async_write(
+        caller->stream, serializer, asio::as_tuple(asio::use_awaitable));
+    co_return !error || error == http::error::need_buffer;
+}
+
+void consumed_reply(const exchange& work, std::size_t bytes)
+{
+    if (work.on_reply_consumed && bytes > 0)
+    {
+        work.on_reply_consumed(bytes);
+    }
+}
+
+// A reply that is longer than its first piece. Returns whether it ended whole.
+asio::awaitable<bool> write_streamed(
+    caller_ptr caller, exchange_ptr work, reply_event event, trace_id trace,
+    delivered_reply& delivered)
+{
+    http::response<http::buffer_body> response;
+    fill_head(response, *caller, *event.head, trace);
+    if (event.head->body_size)
+    {
+        response.content_length(*event.head->body_size);
+    }
+    else
+    {
+        response.chunked(true);
+    }
+    stream_serializer serializer(response);
+    while (true)
+    {
+        if (!co_await write_piece(caller, serializer, response, event))
+        {
+            co_return false;
+        }
+        keep(delivered, event.bytes);
+        consumed_reply(*work, event.bytes.size());
+        if (event.last)
+        {
+            co_return true;
+        }
+        auto [error, next] = co_await work->reply.async_receive(
+            asio::as_tuple(asio::use_awaitable));
+        if (error || next.failure)
+        {
+            co_return false;
+        }
+        event = std::move(next);
+    }
+}
+
+// The next event of a reply whose head came without its body's first bytes.
+asio::awaitable<bool> join_first_piece(exchange_ptr work, reply_event& first)
+{
+    auto [error, next] =
+        co_await work->reply.async_receive(asio::as_tuple(asio::use_awaitable));
+    if (error || next.failure)
+    {
+        co_return false;
+    }
+    first.bytes += next.bytes;
+    first.last = next.last;
+    co_return true;
+}
+
+// Small replies that a peer link delivers in pieces are put together, so that
+// they go to the caller in one write.
+asio::awaitable<bool> gather_small(exchange_ptr work, reply_event& first)
+{
+    const auto size = first.head->body_size;
+    const bool small = size && *size <= max_chunk_bytes;
+    while (small && !first.last)
+    {
+        if (!co_await join_first_piece(work, first))
+        {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+} // namespace
+
+asio::awaitable<delivered_reply> deliver_reply(
+    caller_ptr caller, exchange_ptr work, reply_event first, trace_id trace)
+{
+    delivered_reply delivered;
+    delivered.status = first.head->status;
+    for (const auto& [name, value] : first.head->headers)
+    {
+        if (beast::iequals(name, "content-type"))
+        {
+            delivered.content_type = value;
+        }
+    }
+    if (!co_await gather_small(work, first))
+    {
+        // Nothing has been written yet, so the cut is shown by a status.
+        co_await write_refusal(
+            caller, refusal::upstream_failed, outcome::unknown, {}, trace);
+        co_return delivered;
+    }
+    if (first.last)
+    {
+        keep(delivered, first.bytes);
+        const std::size_t size = first.bytes.size();
+        delivered.whole = co_await write_whole(caller, first, trace);
+        consumed_reply(*work, size);
+        co_return delivered;
+    }
+    delivered.whole = co_await write_streamed(
+        caller, work, std::move(first), trace, delivered);
+    if (!delivered.whole)
+    {
+        caller->must_close = true;
+        caller->stream.close();
+    }
+    co_return delivered;
+}
+
+asio::awaitable<void> write_refusal(
+    caller_ptr caller, refusal reason, outcome result, duration retry_after,
+    trace_id trace)
+{
+    http::response<http::string_body> response;
+    response.result(http_status_of(reason));
+    if (!caller->body_complete)
+    {
+        // The rest of the request is not read, so nothing can follow it.
+        caller->must_close = true;
+    }
+    fill_common(response, *caller, trace, result);
+    response.set(field_name(reason_field), std::string(name_of(reason)));
+    if (retry_after > duration::zero())
+    {
+        const auto seconds =
+            static_cast<std::int64_t>(std::ceil(to_seconds(retry_after)));
+        response.set(http::field::retry_after, std::to_string(seconds));
+    }
+    if (reason == refusal::unauthenticated)
+    {
+        response.set(http::field::www_authenticate, "Bearer");
+    }
+    response.set(http::field::content_type, "application/json");
+    response.body() = boost::json::serialize(boost::json::object{
+        {"reason", std::string(name_of(reason))},
+        {"outcome", std::string(name_of(result))},
+        {"trace", to_string(trace)}});
+    response.body() += '\n';
+    response.prepare_payload();
+    co_await write_message(caller, response);
+}
+
+asio::awaitable<void>
+write_stored(caller_ptr caller, stored_reply reply, trace_id trace)
+{
+    http::response<http::string_body> response;
+    response.result(reply.status);
+    fill_common(response, *caller, trace, outcome::ran);
+    if (!reply.content_type.empty())
+    {
+        response.set(http::field::content_type, reply.content_type);
+    }
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    co_await write_message(caller, response);
+}
+
+asio::awaitable<void>
+write_json(caller_ptr caller, unsigned status, boost::json::value body)
+{
+    http::response<http::string_body> response;
+    response.version(http_version_1_1);
+    response.keep_alive(keeps_alive(*caller));
+    response.result(status);
+    response.set(http::field::content_type, "application/json");
+    response.body() = boost::json::serialize(body) + '\n';
+    response.prepare_payload();
+    co_await write_message(caller, response);
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/upstream_client.cpp
@@ -0,0 +1,313 @@
+#include "adapters/upstream_client.hpp"
+
+#include "adapters/clock.hpp"
+#include "adapters/http_fields.hpp"
+
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+using response_parser = http::response_parser<http::buffer_body>;
+
+constexpr std::uint32_t max_reply_header_bytes = 64 * 1024;
+constexpr unsigned http_version_1_1 = 11;
+
+// The failure of an attempt whose request reached the upstream.
+stream_failure failure_after(const beast::error_code& error)
+{
+    if (error == beast::error::timeout)
+    {
+        return {refusal::deadline_exceeded, outcome::unknown};
+    }
+    return {refusal::upstream_failed, outcome::unknown};
+}
+
+gate_result
+result_after(const upstream_call& call, const beast::error_code& error)
+{
+    if (call.work->cancelled)
+    {
+        return gate_result::cancelled;
+    }
+    return error == beast::error::timeout ? gate_result::timed_out
+                                          : gate_result::failed;
+}
+
+upstream_result fail_call(
+    const upstream_call& call, const beast::error_code& error,
+    const stream_failure& failure)
+{
+    fail(*call.work, failure, call.report(), call.returned_allowance());
+    return {result_after(call, error), false};
+}
+
+template <class Message>
+void fill_head(Message& message, const upstream_call& call)
+{
+    const request_head& head = call.work->head;
+    message.version(http_version_1_1);
+    message.method_string(head.method);
+    message.target(head.target);
+    for (const auto& [name, value] : head.headers)
+    {
+        message.insert(name, value);
+    }
+    const auto left = to_milliseconds(call.work->context.deadline - now());
+    message.set(
+        http::field::host, call.endpoint.address().to_string() + ':' +
+                               std::to_string(call.endpoint.port()));
+    message.set(std::string(call_field), call.handle);
+    message.set(
+        std::string(deadline_field),
+        std::to_string(std::max<std::int64_t>(0, left)));
+    message.set(std::string(trace_field), to_string(call.work->context.trace));
+}
+
+void consumed_body(const upstream_call& call, std::size_t bytes)
+{
+    if (call.work->on_body_consumed && bytes > 0)
+    {
+        call.work->on_body_consumed(bytes);
+    }
+}
+
+// Sends a request whose body is all there.
+asio::awaitable<beast::error_code>
+send_whole(upstream_call& call, body_chunk chunk)
+{
+    http::request<http::string_body> request;
+    fill_head(request, call);
+    const bool has_body =
+        !chunk.bytes.empty() || call.work->head.body_size.has_value();
+    request.body() = std::move(chunk.bytes);
+    if (has_body)
+    {
+        request.content_length(request.body().size());
+    }
+    const auto [error, count] = co_await http::async_write(
+        call.connection->stream, request, asio::as_tuple(asio::use_awaitable));
+    co_return error;
+}
+
+using request_serializer = http::request_serializer<http::buffer_body>;
+
+asio::awaitable<beast::error_code> write_piece(
+    upstream_call& call, request_serializer& serializer,
+    http::request<http::buffer_body>& request, body_chunk& chunk)
+{
+    request.body().data = chunk.bytes.empty() ? nullptr : chunk.bytes.data();
+    request.body().size = chunk.bytes.size();
+    request.body().more = !chunk.last;
+    auto [error, count] = co_await http::async_write(
+        call.connection->stream, serializer,
+        asio::as_tuple(asio::use_awaitable));
+    if (error == http::error::need_buffer)
+    {
+        error = {};
+    }
+    consumed_body(call, chunk.bytes.size());
+    co_return error;
+}
+
+// Sends a request whose body is still coming.
+asio::awaitable<beast::error_code>
+send_streamed(upstream_call& call, body_chunk chunk)
+{
+    reply_event started;
+    started.started = true;
+    call.work->reply.try_send(beast::error_code(), started);
+    http::request<http::buffer_body> request;
+    fill_head(request, call);
+    if (call.work->head.body_size)
+    {
+        request.content_length(*call.work->head.body_size);
+    }
+    else
+    {
+        request.chunked(true);
+    }
+    request_serializer serializer(request);
+    while (true)
+    {
+        call.connection->stream.expires_after(call.body_stall_timeout);
+        if (auto error = co_await write_piece(call, serializer, request, chunk))
+        {
+            co_return error;
+        }
+        if (chunk.last)
+        {
+            co_return beast::error_code();
+        }
+        auto [error, next] = co_await call.work->body.async_receive(
+            asio::as_tuple(asio::use_awaitable));
+        if (error)
+        {
+            co_return error;
+        }
+        chunk = std::move(next);
+    }
+}
+
+asio::awaitable<beast::error_code> connect(upstream_call& call)
+{
+    if (call.connection->stream.socket().is_open())
+    {
+        co_return beast::error_code();
+    }
+    call.connection->stream.expires_after(upstream_connect_timeout);
+    const auto [error] = co_await call.connection->stream.async_connect(
+        call.endpoint, asio::as_tuple(asio::use_awaitable));
+    if (!error)
+    {
+        beast::error_code ignored;
+        call.connection->stream.socket().set_option(
+            asio::ip::tcp::no_delay(true), ignored);
+    }
+    co_return error;
+}
+
+// Reads the next piece of the reply's body.
+asio::awaitable<beast::error_code> read_piece(
+    upstream_call& call, response_parser& parser,
+    std::array<char, max_chunk_bytes>& space, std::string& bytes)
+{
+    auto& body = parser.get().body();
+    body.data = space.data();
+    body.size = space.size();
+    auto [error, count] = co_await http::async_read(
+        call.connection->stream, call.connection->buffer, parser,
+        asio::as_tuple(asio::use_awaitable));
+    if (error == http::error::need_buffer)
+    {
+        error = {};
+    }
+    bytes.assign(space.data(), space.size() - body.size);
+    co_return error;
+}
+
+reply_event make_head_event(upstream_call& call, response_parser& parser)
+{
+    reply_event event;
+    reply_head head;
+    head.status = static_cast<std::uint16_t>(parser.get().result_int());
+    head.headers = returned_fields(parser.get().base());
+    if (const auto length = parser.content_length())
+    {
+        head.body_size = *length;
+    }
+    event.head = std::move(head);
+    event.load = call.report();
+    event.returned_allowance = call.returned_allowance();
+    return event;
+}
+
+// A reply without a body: to HEAD, or of a status that has none.
+bool is_bodyless(const upstream_call& call, unsigned status)
+{
+    return call.work->head.method == "HEAD" || status == 204 || status == 304;
+}
+
+// Moves the reply to the exchange. The head goes with the first piece.
+asio::awaitable<upstream_result> receive_reply(upstream_call& call)
+{
+    auto parser = std::make_unique<response_parser>();
+    parser->header_limit(max_reply_header_bytes);
+    parser->body_limit(boost::none);
+    auto& stream = call.connection->stream;
+    stream.expires_at(call.work->context.deadline);
+    auto [error, count] = co_await http::async_read_header(
+        stream, call.connection->buffer, *parser,
+        asio::as_tuple(asio::use_awaitable));
+    if (error)
+    {
+        co_return fail_call(call, error, failure_after(error));
+    }
+    reply_event event = make_head_event(call, *parser);
+    const unsigned status = parser->get().result_int();
+    const bool bodyless = is_bodyless(call, status);
+    auto space = std::make_unique<std::array<char, max_chunk_bytes>>();
+    while (true)
+    {
+        if (!bodyless && !parser->is_done())
+        {
+            stream.expires_after(call.body_stall_timeout);
+            if (auto failed =
+                    co_await read_piece(call, *parser, *space, event.bytes))
+            {
+                co_return fail_call(call, failed, failure_after(failed));
+            }
+        }
+        event.last = bodyless || parser->is_done();
+        const bool last = event.last;
+        if (last)
+        {
+            // From here on the connection may serve another request, which a
+            // late cancellation of this one must not close.
+            set_abort(*call.work, nullptr);
+        }
+        const auto [closed] = co_await call.work->reply.async_send(
+            beast::error_code(), std::move(event),
+            asio::as_tuple(asio::use_awaitable));
+        if (closed)
+        {
+            co_return upstream_result{gate_result::cancelled, false};
+        }
+        if (last)
+        {
+            break;
+        }
+        event = {};
+    }
+    const bool shed = status == 503 || status == 429;
+    co_return upstream_result{
+        shed ? gate_result::shed : gate_result::replied,
+        parser->keep_alive() && !bodyless};
+}
+
+} // namespace
+
+asio::awaitable<upstream_result> call_upstream(upstream_call call)
+{
+    set_abort(
+        *call.work,
+        [connection = call.connection]
+        {
+            asio::post(
+                connection->stream.get_executor(),
+                [connection]
+                {
+                    connection->stream.close();
+                });
+        });
+    auto [cut, chunk] = co_await call.work->body.async_receive(
+        asio::as_tuple(asio::use_awaitable));
+    if (cut)
+    {
+        co_return fail_call(call, cut, {refusal::cancelled, outcome::not_run});
+    }
+    if (const auto error = co_await connect(call))
+    {
+        co_return fail_call(
+            call, error, {refusal::upstream_failed, outcome::not_run});
+    }
+    call.work->untouched = false;
+    call.connection->stream.expires_at(call.work->context.deadline);
+    const bool whole = chunk.last;
+    const auto error = whole ? co_await send_whole(call, std::move(chunk))
+                             : co_await send_streamed(call, std::move(chunk));
+    if (error)
+    {
+        co_return fail_call(call, error, failure_after(error));
+    }
+    co_return co_await receive_reply(call);
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/upstream_pool.cpp
@@ -0,0 +1,64 @@
+#include "adapters/upstream_pool.hpp"
+
+#include <sys/socket.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+// An idle connection on which anything can be read has been closed, or holds
+// bytes that answer no request.
+bool looks_alive(upstream_connection& connection)
+{
+    char byte = 0;
+    const auto handle = connection.stream.socket().native_handle();
+    const auto count = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+void set_endpoint(upstream_pool& pool, const asio::ip::tcp::endpoint& endpoint)
+{
+    const std::scoped_lock lock(pool.mutex);
+    if (pool.endpoint == endpoint)
+    {
+        return;
+    }
+    pool.endpoint = endpoint;
+    ++pool.generation;
+    pool.idle.clear();
+}
+
+upstream_connection_ptr
+take_connection(upstream_pool& pool, const asio::any_io_executor& executor)
+{
+    const std::scoped_lock lock(pool.mutex);
+    while (!pool.idle.empty())
+    {
+        auto connection = std::move(pool.idle.back());
+        pool.idle.pop_back();
+        if (looks_alive(*connection))
+        {
+            return connection;
+        }
+    }
+    auto connection = std::make_shared<upstream_connection>(executor);
+    connection->generation = pool.generation;
+    return connection;
+}
+
+void return_connection(
+    upstream_pool& pool, const upstream_connection_ptr& connection)
+{
+    const std::scoped_lock lock(pool.mutex);
+    if (connection->generation == pool.generation)
+    {
+        connection->used = true;
+        connection->stream.expires_never();
+        pool.idle.push_back(connection);
+    }
+}
+
+} // namespace cyclamenhold
