Add the stand-in platform over HTTP and its asynchronous client

Cause: nodes need the platform's key-value service, and tests need one whose faults can be switched. Change: a JSON protocol shared by both ends, an asynchronous client with a bounded pool, timeouts and jittered backoff, and the stand-in server over the in-memory store with call counts and faults at run time. Conclusion: the platform's part of the path is there; no load was run.

--- /dev/null
+++ b/src/adapters/json_server.hpp
@@ -0,0 +1,58 @@
+// A small HTTP/1.1 server for JSON bodies: control ports and stand-ins.
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace cyclamenhold
+{
+
+struct json_request
+{
+    std::string method;
+    // Path and query.
+    std::string target;
+    std::string body;
+};
+
+struct json_reply
+{
+    unsigned status = 200;
+    std::string body;
+    // Close the connection without an answer.
+    bool drop = false;
+};
+
+using json_handler =
+    std::function<boost::asio::awaitable<json_reply>(json_request)>;
+
+// Larger bodies are refused with 413.
+constexpr std::size_t json_body_limit = 4 * 1024 * 1024;
+
+// Accepts connections at `endpoint` (port 0 for any free one) until the
+// executor's context stops; returns where it listens.
+[[nodiscard]] absl::StatusOr<boost::asio::ip::tcp::endpoint> start_json_server(
+    const boost::asio::any_io_executor& executor,
+    const boost::asio::ip::tcp::endpoint& endpoint, json_handler handler);
+
+// Parses "127.0.0.1:8080".
+[[nodiscard]] absl::StatusOr<boost::asio::ip::tcp::endpoint>
+parse_endpoint(const std::string& text);
+
+// "127.0.0.1:8080".
+[[nodiscard]] std::string
+to_string(const boost::asio::ip::tcp::endpoint& endpoint);
+
+// Runs the context until SIGTERM or SIGINT has come and `on_stop`, which is
+// called then, has stopped the context. A second signal stops it at once.
+void run_until_signal(
+    boost::asio::io_context& context, std::function<void()> on_stop);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/platform_client.cpp
@@ -0,0 +1,171 @@
+#include "adapters/platform_client.hpp"
+
+#include "adapters/clock.hpp"
+#include "adapters/http_client.hpp"
+#include "adapters/platform_protocol.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenhold
+{
+namespace asio = boost::asio;
+
+struct platform_connections
+{
+    platform_connections(
+        const asio::any_io_executor& executor,
+        const platform_connection_settings& from)
+        : settings(from),
+          calls(executor, from.endpoint, from.connections),
+          watches(executor, from.endpoint, from.watch_connections),
+          random(from.seed),
+          backoff(from.first_backoff)
+    {
+    }
+    platform_connection_settings settings;
+    http_pool calls;
+    http_pool watches;
+    random_source random;
+    std::size_t pending = 0;
+    // The bound of the next random wait.
+    duration backoff;
+    // No call is sent before.
+    time_point not_before{};
+};
+
+namespace
+{
+
+using client_pointer = std::shared_ptr<platform_connections>;
+
+platform_reply unavailable_reply(const platform_call& call)
+{
+    platform_reply reply;
+    reply.client = call.client;
+    reply.call_id = call.call_id;
+    reply.status = platform_status::unavailable;
+    return reply;
+}
+
+// A random share of the backoff, so that many clients spread out.
+void note_failure(platform_connections& client)
+{
+    const time_point at = now();
+    if (at < client.not_before)
+    {
+        return;
+    }
+    const double share = random_fraction(client.random);
+    client.not_before = at + from_seconds(share * to_seconds(client.backoff));
+    client.backoff = std::min(client.backoff * 2, client.settings.last_backoff);
+}
+
+void note_success(platform_connections& client)
+{
+    client.backoff = client.settings.first_backoff;
+    client.not_before = {};
+}
+
+// Waits until the backoff is over; false when that is after `deadline`.
+asio::awaitable<bool>
+wait_for_backoff(platform_connections& client, time_point deadline)
+{
+    asio::steady_timer timer(client.calls.executor);
+    while (client.not_before > now())
+    {
+        timer.expires_at(std::min(client.not_before, deadline));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (now() >= deadline)
+        {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<platform_reply>
+exchange(platform_connections& client, const platform_call& call)
+{
+    const bool is_watch = call.operation == platform_operation::watch;
+    const time_point deadline =
+        now() + call.timeout + (is_watch ? call.wait : duration::zero());
+    if (!co_await wait_for_backoff(client, deadline))
+    {
+        co_return unavailable_reply(call);
+    }
+    http_call request;
+    request.method = "POST";
+    request.target = platform_target(call.operation);
+    request.body = encode_platform_call(call);
+    request.timeout = deadline - now();
+    auto& pool = is_watch ? client.watches : client.calls;
+    const http_result result = co_await http_send(pool, std::move(request));
+    if (result.status != http_call_status::answered)
+    {
+        note_failure(client);
+        co_return unavailable_reply(call);
+    }
+    note_success(client);
+    auto reply = decode_platform_reply(result.body);
+    if (!reply.ok())
+    {
+        co_return unavailable_reply(call);
+    }
+    reply->client = call.client;
+    reply->call_id = call.call_id;
+    co_return *std::move(reply);
+}
+
+asio::awaitable<void>
+run_call(client_pointer client, platform_call call, platform_callback callback)
+{
+    auto reply = co_await exchange(*client, call);
+    --client->pending;
+    callback(std::move(reply));
+}
+
+} // namespace
+
+client_pointer make_platform_connections(
+    const asio::any_io_executor& executor,
+    const platform_connection_settings& settings)
+{
+    return std::make_shared<platform_connections>(executor, settings);
+}
+
+void platform_client_send(
+    const client_pointer& client, platform_call call,
+    platform_callback callback)
+{
+    const auto& executor = client->calls.executor;
+    if (client->pending >= client->settings.most_pending_calls)
+    {
+        asio::post(
+            executor,
+            [reply = unavailable_reply(call), callback = std::move(callback)]
+            {
+                callback(reply);
+            });
+        return;
+    }
+    ++client->pending;
+    // Posted, so that the call never runs inside its sender.
+    asio::post(
+        executor,
+        [client, call = std::move(call), callback = std::move(callback)]
+        {
+            asio::co_spawn(
+                client->calls.executor, run_call(client, call, callback),
+                asio::detached);
+        });
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/platform_client.hpp
@@ -0,0 +1,51 @@
+// An asynchronous client of the platform's HTTP interface. All calls and
+// callbacks run on the executor it was made with, which must be of one thread.
+#pragma once
+
+#include "core/base/random.hpp"
+#include "core/base/time.hpp"
+#include "ports/platform.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace cyclamenhold
+{
+
+struct platform_connection_settings
+{
+    boost::asio::ip::tcp::endpoint endpoint;
+    std::size_t connections = 4;
+    // Watches wait on connections of their own.
+    std::size_t watch_connections = 8;
+    // Calls beyond this number are answered `unavailable` at once.
+    std::size_t most_pending_calls = 1'000;
+    // After a failure no connection is made for a random time up to a bound,
+    // which doubles from the first to the last.
+    duration first_backoff = 50ms;
+    duration last_backoff = 5s;
+    std::uint64_t seed = 1;
+};
+
+using platform_callback = std::function<void(platform_reply)>;
+
+struct platform_connections;
+
+// Makes a client; connections are made as calls need them.
+[[nodiscard]] std::shared_ptr<platform_connections> make_platform_connections(
+    const boost::asio::any_io_executor& executor,
+    const platform_connection_settings& settings);
+
+// Sends a call. The callback runs exactly once, never from inside this
+// function, at the latest at the call's timeout (for a watch its wait and
+// timeout), unless the executor's context stops first.
+void platform_client_send(
+    const std::shared_ptr<platform_connections>& client, platform_call call,
+    platform_callback callback);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/adapters/platform_test.cpp
@@ -0,0 +1,301 @@
+#include "adapters/clock.hpp"
+#include "adapters/http_client.hpp"
+#include "adapters/json_server.hpp"
+#include "adapters/platform_client.hpp"
+#include "adapters/platform_protocol.hpp"
+#include "platform_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+const auto any_port =
+    boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
+
+// Server and client on one context, driven by the test's thread.
+struct platform_fixture
+{
+    platform_fixture()
+    {
+        server = make_platform_server(context.get_executor());
+        settings.endpoint = *start_platform_server(server, any_port);
+        settings.last_backoff = 100ms;
+        client = make_platform_connections(context.get_executor(), settings);
+    }
+
+    bool run_until(const std::function<bool()>& done, duration limit = 10s)
+    {
+        const time_point deadline = now() + limit;
+        while (!done() && now() < deadline)
+        {
+            context.run_one_for(20ms);
+        }
+        return done();
+    }
+
+    platform_reply send(platform_call call)
+    {
+        std::optional<platform_reply> reply;
+        platform_client_send(
+            client, std::move(call),
+            [&](platform_reply answer)
+            {
+                reply = std::move(answer);
+            });
+        EXPECT_FALSE(reply) << "called back from inside the send";
+        EXPECT_TRUE(run_until(
+            [&]
+            {
+                return reply.has_value();
+            }));
+        return reply.value_or(platform_reply{});
+    }
+
+    http_result http(std::string method, std::string target, std::string body)
+    {
+        http_pool pool(context.get_executor(), settings.endpoint, 1);
+        http_call call;
+        call.method = std::move(method);
+        call.target = std::move(target);
+        call.body = std::move(body);
+        std::optional<http_result> result;
+        boost::asio::co_spawn(
+            context, http_send(pool, std::move(call)),
+            [&](const std::exception_ptr&, http_result got)
+            {
+                result = std::move(got);
+            });
+        EXPECT_TRUE(run_until(
+            [&]
+            {
+                return result.has_value();
+            }));
+        return result.value_or(http_result{});
+    }
+
+    boost::asio::io_context context{1};
+    std::shared_ptr<platform_server> server;
+    platform_connection_settings settings;
+    std::shared_ptr<platform_connections> client;
+};
+
+platform_call
+make_call(platform_operation operation, std::string key, std::string value = {})
+{
+    platform_call call;
+    call.client = platform_client::configuration;
+    call.call_id = 77;
+    call.operation = operation;
+    call.key = std::move(key);
+    call.value = std::move(value);
+    call.timeout = 500ms;
+    return call;
+}
+
+TEST(platform_protocol, carries_any_bytes)
+{
+    for (const std::string& value :
+         {std::string(), std::string("plain"), std::string("\0\xff\"\n", 4),
+          std::string(100, '\x80'), std::string("ab\x01", 3)})
+    {
+        SCOPED_TRACE(testing::PrintToString(value));
+        auto call =
+            make_call(platform_operation::compare_and_swap, value, value);
+        call.expected_version = ~0ULL;
+        const auto decoded = decode_platform_call(
+            platform_target(call.operation), encode_platform_call(call));
+        ASSERT_TRUE(decoded.ok()) << decoded.status();
+        EXPECT_EQ(decoded->key, value);
+        EXPECT_EQ(decoded->value, value);
+        EXPECT_EQ(decoded->expected_version, ~0ULL);
+        platform_reply reply;
+        reply.entries.push_back({"key", value, 9});
+        const auto back = decode_platform_reply(encode_platform_reply(reply));
+        ASSERT_TRUE(back.ok()) << back.status();
+        ASSERT_EQ(back->entries.size(), 1U);
+        EXPECT_EQ(back->entries[0].value, value);
+        EXPECT_EQ(back->entries[0].version, 9U);
+    }
+}
+
+TEST(platform_protocol, names_all_that_is_wrong)
+{
+    const auto call = decode_platform_call(
+        "/v1/kv/get", R"({"key":5,"lease":"x","value_base64":"?"})");
+    ASSERT_FALSE(call.ok());
+    const std::string text(call.status().message());
+    EXPECT_NE(text.find("/key"), std::string::npos) << text;
+    EXPECT_NE(text.find("/lease"), std::string::npos) << text;
+    EXPECT_NE(text.find("/value_base64"), std::string::npos) << text;
+}
+
+TEST(platform_over_http, story_of_a_value)
+{
+    platform_fixture platform;
+    std::uint64_t version = 0;
+    {
+        SCOPED_TRACE("a value is created once");
+        const auto call = make_call(
+            platform_operation::compare_and_swap, "change/1",
+            std::string("\0first", 6));
+        const auto created = platform.send(call);
+        ASSERT_EQ(created.status, platform_status::ok);
+        EXPECT_EQ(created.client, platform_client::configuration);
+        EXPECT_EQ(created.call_id, 77U);
+        version = created.entries.at(0).version;
+        EXPECT_EQ(platform.send(call).status, platform_status::conflict);
+    }
+    {
+        SCOPED_TRACE("it is read and listed");
+        const auto read =
+            platform.send(make_call(platform_operation::get, "change/1"));
+        ASSERT_EQ(read.entries.size(), 1U);
+        EXPECT_EQ(read.entries[0].value, std::string("\0first", 6));
+        const auto listed =
+            platform.send(make_call(platform_operation::list, "change/"));
+        EXPECT_EQ(listed.entries.size(), 1U);
+        const auto absent =
+            platform.send(make_call(platform_operation::get, "none"));
+        EXPECT_EQ(absent.status, platform_status::not_found);
+    }
+    {
+        SCOPED_TRACE("values above the limit are rejected");
+        const auto reply = platform.send(make_call(
+            platform_operation::compare_and_swap, "big",
+            std::string(max_store_value_size + 1, 'x')));
+        EXPECT_EQ(reply.status, platform_status::rejected);
+    }
+    {
+        SCOPED_TRACE("each call was counted");
+        const auto calls = platform.http("GET", "/v1/calls", "");
+        EXPECT_NE(calls.body.find("\"compare-and-swap\":3"), std::string::npos)
+            << calls.body;
+    }
+    {
+        SCOPED_TRACE("it is deleted at its version only");
+        auto call =
+            make_call(platform_operation::compare_and_delete, "change/1");
+        EXPECT_EQ(platform.send(call).status, platform_status::conflict);
+        call.expected_version = version;
+        EXPECT_EQ(platform.send(call).status, platform_status::ok);
+    }
+}
+
+TEST(platform_over_http, a_watch_waits_for_a_change)
+{
+    platform_fixture platform;
+    auto watch = make_call(platform_operation::watch, "key/");
+    watch.wait = 5s;
+    std::optional<platform_reply> seen;
+    platform_client_send(
+        platform.client, watch,
+        [&](platform_reply reply)
+        {
+            seen = std::move(reply);
+        });
+    ASSERT_TRUE(platform.run_until(
+        [&]
+        {
+            return !store_of(*platform.server).watches.empty();
+        }));
+    platform.send(
+        make_call(platform_operation::compare_and_swap, "key/a", "v"));
+    ASSERT_TRUE(platform.run_until(
+        [&]
+        {
+            return seen.has_value();
+        }));
+    EXPECT_EQ(seen->status, platform_status::ok);
+    EXPECT_EQ(seen->entries.at(0).key, "key/a");
+}
+
+TEST(platform_over_http, leases_and_their_lapse)
+{
+    platform_fixture platform;
+    auto grant = make_call(platform_operation::lease_grant, "");
+    grant.lease_time = 60s;
+    const auto lease = platform.send(grant);
+    ASSERT_EQ(lease.status, platform_status::ok);
+    auto renew = make_call(platform_operation::lease_renew, "");
+    renew.lease = lease.lease;
+    EXPECT_EQ(platform.send(renew).status, platform_status::ok);
+    platform.http("PUT", "/v1/faults", R"({"lapse_leases":true})");
+    EXPECT_EQ(platform.send(renew).status, platform_status::lease_expired);
+}
+
+TEST(platform_over_http, faults)
+{
+    platform_fixture platform;
+    const auto write =
+        make_call(platform_operation::compare_and_swap, "key", "value");
+    const auto read = make_call(platform_operation::get, "key");
+    {
+        SCOPED_TRACE("an answer is lost after the write took effect");
+        platform.http("PUT", "/v1/faults", R"({"lose_next_answers":1})");
+        EXPECT_EQ(platform.send(write).status, platform_status::unavailable);
+        EXPECT_EQ(platform.send(read).status, platform_status::ok);
+    }
+    {
+        SCOPED_TRACE("slow beyond the timeout");
+        platform.http("PUT", "/v1/faults", R"({"slow_ms":60000})");
+        EXPECT_EQ(platform.send(read).status, platform_status::unavailable);
+    }
+    {
+        SCOPED_TRACE("down, and back again");
+        platform.http("PUT", "/v1/faults", R"({"slow_ms":0,"down":true})");
+        EXPECT_EQ(platform.send(read).status, platform_status::unavailable);
+        platform.http("PUT", "/v1/faults", R"({"down":false})");
+        EXPECT_EQ(platform.send(read).status, platform_status::ok);
+    }
+    {
+        SCOPED_TRACE("unknown faults are all named, none is set");
+        const auto reply = platform.http(
+            "PUT", "/v1/faults", R"({"down":true,"odd":1,"slow_ms":"x"})");
+        EXPECT_EQ(reply.http_status, 400U);
+        EXPECT_NE(reply.body.find("/odd"), std::string::npos);
+        EXPECT_NE(reply.body.find("/slow_ms"), std::string::npos);
+        EXPECT_FALSE(store_of(*platform.server).faults.down);
+    }
+}
+
+TEST(platform_over_http, nothing_listens)
+{
+    platform_fixture platform;
+    platform.settings.endpoint.port(1);
+    platform.settings.most_pending_calls = 1;
+    platform.client = make_platform_connections(
+        platform.context.get_executor(), platform.settings);
+    const auto read = make_call(platform_operation::get, "key");
+    const time_point start = now();
+    EXPECT_EQ(platform.send(read).status, platform_status::unavailable);
+    EXPECT_LT(now() - start, 5s);
+    int answers = 0;
+    for (int call = 0; call < 3; ++call)
+    {
+        platform_client_send(
+            platform.client, read,
+            [&](const platform_reply& reply)
+            {
+                EXPECT_EQ(reply.status, platform_status::unavailable);
+                ++answers;
+            });
+    }
+    EXPECT_TRUE(platform.run_until(
+        [&]
+        {
+            return answers == 3;
+        }));
+}
+
+} // namespace
+} // namespace cyclamenhold
