--- a/src/adapters/call_driver.hpp
+++ b/src/adapters/call_driver.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 namespace cyclamenhold
 {
@@ -29,6 +30,8 @@
     std::function<void(std::function<void(std::string)>)> issue_ticket;
 };
 
+struct caller_connection;
+
 // One of the threads that serve requests, and what belongs to it.
 struct request_thread
 {
@@ -51,6 +54,8 @@
     asio::io_context io{1};
     peer_links links;
     random_source random;
+    // Connections that wait for their next request; a planned stop closes them.
+    std::unordered_set<std::shared_ptr<caller_connection>> idle;
 };
 
 using caller_parser =
--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -48,9 +48,11 @@
     {
         // The header's time begins with its first byte.
         caller->stream.expires_after(limits.idle_timeout);
+        caller->thread.idle.insert(caller);
         const auto [error, count] = co_await caller->stream.async_read_some(
             caller->buffer.prepare(max_chunk_bytes),
             asio::as_tuple(asio::use_awaitable));
+        caller->thread.idle.erase(caller);
         if (error)
         {
             co_return false;
--- /dev/null
+++ b/src/adapters/control_loop.cpp
@@ -0,0 +1,405 @@
+#include "adapters/control_loop.hpp"
+
+#include "adapters/clock.hpp"
+
+#include <ctime>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+void carry_out(control_loop& loop, control_actions actions);
+
+// The processor time of this thread.
+std::uint64_t thread_time_us()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<std::uint64_t>(time.tv_sec) * 1'000'000 +
+           static_cast<std::uint64_t>(time.tv_nsec) / 1'000;
+}
+
+void publish_members(control_loop& loop)
+{
+    if (loop.state.membership.version == loop.published_members)
+    {
+        return;
+    }
+    loop.published_members = loop.state.membership.version;
+    const auto locations = membership_upstreams(loop.state.membership);
+    std::unique_ptr<const routing_view> next;
+    {
+        const auto previous = loop.services.path.routing.read();
+        next = std::make_unique<const routing_view>(build_routing_view(
+            locations, loop.state.membership.settings.data_centre, *previous));
+    }
+    loop.services.path.routing.publish(std::move(next));
+}
+
+void publish_configuration(control_loop& loop)
+{
+    if (loop.state.chain.current == loop.published_configuration)
+    {
+        return;
+    }
+    loop.published_configuration = loop.state.chain.current;
+    loop.services.path.tables.publish(std::make_unique<const request_tables>(
+        build_request_tables(*loop.published_configuration)));
+}
+
+void wake_waiting(control_loop& loop)
+{
+    const auto results = settle_waiters(loop.services.path.limiter, now());
+    for (const token_waiter waiter : results.admitted)
+    {
+        call_wakeup wakeup;
+        wakeup.admitted = true;
+        wake_call(loop.wakeups, waiter, wakeup);
+    }
+    for (const token_waiter waiter : results.expired)
+    {
+        wake_call(loop.wakeups, waiter, {});
+    }
+    for (auto& answer : std::exchange(loop.state.claims.answers, {}))
+    {
+        call_wakeup wakeup;
+        wakeup.answer = answer;
+        wake_call(loop.wakeups, answer.token, wakeup);
+    }
+}
+
+void finish_commits(control_loop& loop)
+{
+    for (const auto& result : std::exchange(loop.state.chain.results, {}))
+    {
+        if (auto entry = loop.commits.extract(result.token))
+        {
+            entry.mapped()(result);
+        }
+    }
+}
+
+void arm_timer(control_loop& loop);
+
+// Runs one step of the control core and then what follows from it.
+template <class Step>
+void run_step(control_loop& loop, const Step& step)
+{
+    const std::uint64_t before = thread_time_us();
+    control_actions actions;
+    step(actions);
+    carry_out(loop, std::move(actions));
+    publish_members(loop);
+    publish_configuration(loop);
+    wake_waiting(loop);
+    finish_commits(loop);
+    loop.busy_us += thread_time_us() - before;
+}
+
+void on_platform_reply(control_loop& loop, const platform_reply& reply)
+{
+    const bool reachable = reply.status != platform_status::unavailable;
+    if (reachable != loop.platform_reachable)
+    {
+        loop.platform_reachable = reachable;
+        event seen;
+        seen.kind = reachable ? event_kind::platform_available
+                              : event_kind::platform_unavailable;
+        loop.services.record(seen);
+    }
+    run_step(
+        loop,
+        [&](control_actions& actions)
+        {
+            control_on_platform_reply(
+                loop.state, reply, now(), loop.random, actions);
+        });
+}
+
+void receive(control_loop& loop, const incoming_message& message)
+{
+    run_step(
+        loop,
+        [&](control_actions& actions)
+        {
+            control_on_message(
+                loop.state, message, now(), loop.random, actions);
+        });
+}
+
+void send(control_loop& loop, const outgoing_message& message)
+{
+    if (message.to == loop.services.self)
+    {
+        post_control_message(loop, message.to, message.kind, message.payload);
+        return;
+    }
+    if (message.via == transport::datagram &&
+        message.payload.size() <= max_datagram_payload)
+    {
+        send_datagram(*loop.datagrams, message);
+        return;
+    }
+    send_message(loop.links, message);
+}
+
+void carry_out(control_loop& loop, control_actions actions)
+{
+    for (const auto& message : actions.messages)
+    {
+        send(loop, message);
+    }
+    for (auto& call : actions.platform_calls)
+    {
+        platform_client_send(
+            loop.platform, std::move(call),
+            [&loop](const platform_reply& reply)
+            {
+                on_platform_reply(loop, reply);
+            });
+    }
+    for (const auto& seen : actions.events)
+    {
+        loop.services.record(seen);
+    }
+}
+
+void spread_upstream(
+    control_loop& loop, const std::optional<upstream_record>& record)
+{
+    if (!record)
+    {
+        return;
+    }
+    set_upstream(loop.gate, *record, loop.upstream.endpoint);
+    event seen;
+    seen.kind = record->state == upstream_state::draining
+                    ? event_kind::upstream_draining
+                : record->state == upstream_state::absent
+                    ? event_kind::upstream_lost
+                    : event_kind::upstream_announced;
+    seen.detail = record->service + ' ' + std::string(name_of(record->state));
+    loop.services.record(seen);
+    run_step(
+        loop,
+        [&](control_actions& actions)
+        {
+            membership_set_upstream(
+                loop.state.membership, *record, now(), loop.random, actions);
+        });
+}
+
+void on_timer(control_loop& loop)
+{
+    if (!loop.leaving)
+    {
+        spread_upstream(loop, check_upstream(loop.upstream, now()));
+    }
+    run_step(
+        loop,
+        [&](control_actions& actions)
+        {
+            if (control_due(loop.state) <= now())
+            {
+                control_tick(
+                    loop.state, wall_clock_ms(), now(), loop.random, actions);
+            }
+        });
+    close_idle(loop.links);
+    arm_timer(loop);
+}
+
+void arm_timer(control_loop& loop)
+{
+    const time_point due = std::max(control_due(loop.state), now() + 1ms);
+    loop.timer.expires_at(std::min(due, now() + max_control_interval));
+    loop.timer.async_wait(
+        [&loop](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                on_timer(loop);
+            }
+        });
+}
+
+} // namespace
+
+void start_control(
+    control_loop& loop, const control_settings& settings,
+    asio::ip::udp::socket socket, const platform_connection_settings& platform)
+{
+    loop.platform = make_platform_connections(loop.io.get_executor(), platform);
+    loop.datagrams = std::make_unique<datagram_port>(
+        std::move(socket), loop.services.fleet_secret);
+    loop.datagrams->self = loop.services.self;
+    loop.datagrams->self_incarnation = loop.services.self_incarnation;
+    loop.datagrams->on_message = [&loop](const incoming_message& message)
+    {
+        receive(loop, message);
+    };
+    loop.datagrams->on_rejected = [&loop](const char* why)
+    {
+        event seen;
+        seen.kind = event_kind::bad_input;
+        seen.detail = why;
+        loop.services.record(seen);
+    };
+    asio::co_spawn(loop.io, run_datagrams(*loop.datagrams), asio::detached);
+    asio::post(
+        loop.io,
+        [&loop, settings]
+        {
+            run_step(
+                loop,
+                [&](control_actions& actions)
+                {
+                    control_start(
+                        loop.state, settings, loop.services.path.limiter,
+                        loop.services.self_incarnation, now(), loop.random,
+                        actions);
+                });
+            arm_timer(loop);
+        });
+}
+
+void post_control_message(
+    control_loop& loop, host_id from, message_kind kind,
+    std::vector<std::uint8_t> payload)
+{
+    asio::post(
+        loop.io,
+        [&loop, from, kind, payload = std::move(payload)]
+        {
+            receive(loop, {from, kind, payload});
+        });
+}
+
+void post_claim_question(control_loop& loop, const claim_question& question)
+{
+    asio::post(
+        loop.io,
+        [&loop, question]
+        {
+            run_step(
+                loop,
+                [&](control_actions& actions)
+                {
+                    claims_ask(
+                        loop.state.claims, inputs_of_claims(loop.state),
+                        question, now(), loop.random, actions);
+                });
+        });
+}
+
+void post_claim_completion(
+    control_loop& loop, const claim_completion& completion)
+{
+    asio::post(
+        loop.io,
+        [&loop, completion]
+        {
+            run_step(
+                loop,
+                [&](control_actions& actions)
+                {
+                    claims_complete(
+                        loop.state.claims, inputs_of_claims(loop.state),
+                        completion, now(), loop.random, actions);
+                });
+        });
+}
+
+void post_ticket(control_loop& loop, std::function<void(std::string)> callback)
+{
+    asio::post(
+        loop.io,
+        [&loop, callback = std::move(callback)]
+        {
+            callback(claims_issue_ticket(
+                loop.state.claims, inputs_of_claims(loop.state), loop.random));
+        });
+}
+
+void post_claim_check(
+    control_loop& loop, const claim_grant& grant,
+    std::function<void(bool)> callback)
+{
+    asio::post(
+        loop.io,
+        [&loop, grant, callback = std::move(callback)]
+        {
+            callback(claims_accept_at_gate(loop.state.claims, grant, now()));
+        });
+}
+
+void post_announcement(
+    control_loop& loop, const upstream_announcement& announcement)
+{
+    asio::post(
+        loop.io,
+        [&loop, announcement]
+        {
+            if (!loop.leaving)
+            {
+                spread_upstream(
+                    loop, on_announcement(loop.upstream, announcement, now()));
+            }
+        });
+}
+
+void post_upstream_drain(control_loop& loop)
+{
+    asio::post(
+        loop.io,
+        [&loop]
+        {
+            spread_upstream(loop, on_drain(loop.upstream));
+        });
+}
+
+void post_upstream_leave(control_loop& loop)
+{
+    asio::post(
+        loop.io,
+        [&loop]
+        {
+            spread_upstream(loop, on_leave(loop.upstream));
+        });
+}
+
+void post_leave(control_loop& loop)
+{
+    asio::post(
+        loop.io,
+        [&loop]
+        {
+            loop.leaving = true;
+            run_step(
+                loop,
+                [&](control_actions& actions)
+                {
+                    control_leave(loop.state, now(), loop.random, actions);
+                });
+        });
+}
+
+void commit_change(
+    control_loop& loop, std::uint64_t base_revision,
+    const std::string& operation_id, const std::string& operations,
+    std::function<void(const commit_result&)> done)
+{
+    const commit_token token = loop.next_commit++;
+    loop.commits.emplace(token, std::move(done));
+    run_step(
+        loop,
+        [&](control_actions& actions)
+        {
+            chain_commit(
+                loop.state.chain, token, base_revision, operation_id,
+                operations, now(), loop.random, actions);
+        });
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/control_loop.hpp
@@ -0,0 +1,96 @@
+// Runs the control side of a node on one thread: its timer, datagrams, control
+// messages and platform calls. Publishes what the request path reads.
+#pragma once
+
+#include "adapters/call_wakeups.hpp"
+#include "adapters/datagram_port.hpp"
+#include "adapters/local_gate.hpp"
+#include "adapters/node_services.hpp"
+#include "adapters/peer_links.hpp"
+#include "adapters/platform_client.hpp"
+#include "adapters/upstream_monitor.hpp"
+#include "core/node/control.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace cyclamenhold
+{
+
+// The longest time between two looks at waiting requests.
+constexpr auto max_control_interval = std::chrono::milliseconds(20);
+
+struct control_loop
+{
+    control_loop(
+        node_services& shared, local_gate& front, call_wakeups& calls,
+        std::uint64_t seed)
+        : services(shared),
+          gate(front),
+          wakeups(calls),
+          links(shared, io.get_executor()),
+          timer(io),
+          random(seed)
+    {
+    }
+
+    node_services& services;
+    local_gate& gate;
+    call_wakeups& wakeups;
+    asio::io_context io{1};
+    peer_links links;
+    asio::steady_timer timer;
+    random_source random;
+    control_state state;
+    std::unique_ptr<datagram_port> datagrams;
+    std::shared_ptr<platform_connections> platform;
+    upstream_monitor upstream;
+
+    // What was published last.
+    std::uint64_t published_members = 0;
+    std::shared_ptr<const configuration> published_configuration;
+    commit_token next_commit = 1;
+    std::unordered_map<commit_token, std::function<void(const commit_result&)>>
+        commits;
+    bool platform_reachable = true;
+    bool leaving = false;
+    // Processor time spent here, for the budget of the control side.
+    std::atomic<std::uint64_t> busy_us{0};
+};
+
+// Starts the control side; its io_context must be run by one thread.
+void start_control(
+    control_loop& loop, const control_settings& settings,
+    asio::ip::udp::socket socket, const platform_connection_settings& platform);
+
+// The rest may be called from any thread.
+
+void post_control_message(
+    control_loop& loop, host_id from, message_kind kind,
+    std::vector<std::uint8_t> payload);
+void post_claim_question(control_loop& loop, const claim_question& question);
+void post_claim_completion(
+    control_loop& loop, const claim_completion& completion);
+void post_ticket(control_loop& loop, std::function<void(std::string)> callback);
+void post_claim_check(
+    control_loop& loop, const claim_grant& grant,
+    std::function<void(bool)> callback);
+void post_announcement(
+    control_loop& loop, const upstream_announcement& announcement);
+void post_upstream_drain(control_loop& loop);
+void post_upstream_leave(control_loop& loop);
+
+// Announces the planned stop to the fleet.
+void post_leave(control_loop& loop);
+
+// Appends a change to the chain; `done` runs on the control thread. To be
+// called on the control thread.
+void commit_change(
+    control_loop& loop, std::uint64_t base_revision,
+    const std::string& operation_id, const std::string& operations,
+    std::function<void(const commit_result&)> done);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/node_runtime.cpp
@@ -0,0 +1,520 @@
+#include "adapters/node_runtime.hpp"
+
+#include "adapters/clock.hpp"
+#include "core/events/event_json.hpp"
+
+#include <boost/json.hpp>
+
+#include <future>
+
+namespace cyclamenhold
+{
+
+using tcp_acceptor = asio::ip::tcp::acceptor;
+
+// How long peers and callers are given to learn of a planned stop before new
+// work is refused.
+constexpr auto leave_notice = std::chrono::milliseconds(1'500);
+constexpr auto stop_poll_interval = std::chrono::milliseconds(20);
+constexpr auto gate_tick_interval = std::chrono::milliseconds(10);
+
+struct node_runtime
+{
+    node_runtime(
+        const node_settings& given, json_log sink, std::uint64_t seed)
+        : settings(given),
+          log(std::move(sink)),
+          gate(services),
+          control(services, gate, wakeups, seed)
+    {
+    }
+
+    node_settings settings;
+    json_log log;
+    bound_ports ports;
+    metrics measured;
+    std::unique_ptr<shared_event_ring> events;
+    node_services services;
+    call_wakeups wakeups;
+    control_port control_side;
+    upstream_port upstream_side;
+    local_gate gate;
+    control_loop control;
+    operators_api operators;
+    std::vector<std::unique_ptr<request_thread>> threads;
+    std::unique_ptr<tcp_acceptor> callers_acceptor;
+    std::unique_ptr<tcp_acceptor> upstream_acceptor;
+    std::unique_ptr<tcp_acceptor> peers_acceptor;
+    std::unique_ptr<tcp_acceptor> operators_acceptor;
+    std::vector<std::thread> running;
+    std::atomic<std::size_t> next_thread{0};
+    std::atomic<std::size_t> sessions{0};
+    std::atomic<bool> stop_asked{false};
+};
+
+namespace
+{
+
+asio::ip::tcp::endpoint tcp_endpoint_of(const ip_endpoint& endpoint)
+{
+    return {asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+ip_endpoint bound_endpoint(const tcp_acceptor& acceptor)
+{
+    const auto local = acceptor.local_endpoint();
+    return {local.address().to_v4().to_uint(), local.port()};
+}
+
+std::unique_ptr<tcp_acceptor>
+open_acceptor(asio::io_context& io, const ip_endpoint& endpoint)
+{
+    // Throws with the reason, which start_node reports.
+    return std::make_unique<tcp_acceptor>(io, tcp_endpoint_of(endpoint), true);
+}
+
+// Binds the peers' UDP port to the number its TCP port has.
+asio::ip::udp::socket open_datagrams(node_runtime& node)
+{
+    const asio::ip::udp::endpoint local(
+        asio::ip::address_v4(node.ports.peers.address), node.ports.peers.port);
+    return asio::ip::udp::socket(node.control.io, local);
+}
+
+void bind_ports(node_runtime& node)
+{
+    auto& first = node.threads.front()->io;
+    const auto& listen = node.settings.listen;
+    node.callers_acceptor = open_acceptor(first, listen.callers);
+    node.upstream_acceptor = open_acceptor(first, listen.upstream);
+    node.peers_acceptor = open_acceptor(first, listen.peers);
+    node.operators_acceptor =
+        open_acceptor(node.control.io, listen.operators);
+    node.ports.callers = bound_endpoint(*node.callers_acceptor);
+    node.ports.upstream = bound_endpoint(*node.upstream_acceptor);
+    node.ports.peers = bound_endpoint(*node.peers_acceptor);
+    node.ports.operators = bound_endpoint(*node.operators_acceptor);
+}
+
+request_thread& next_thread(node_runtime& node)
+{
+    return *node.threads[node.next_thread++ % node.threads.size()];
+}
+
+// Accepts connections on `acceptor` and hands each socket, bound to the thread
+// that will serve it, to `serve`.
+template <class Serve>
+asio::awaitable<void>
+accept_loop(node_runtime* node, tcp_acceptor* acceptor, Serve serve)
+{
+    while (acceptor->is_open())
+    {
+        request_thread& thread = next_thread(*node);
+        auto [error, socket] = co_await acceptor->async_accept(
+            thread.io, asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted)
+        {
+            co_return;
+        }
+        if (!error)
+        {
+            serve(thread, std::move(socket));
+        }
+    }
+}
+
+asio::awaitable<void> run_session(
+    node_runtime* node, caller_ptr caller, session_settings settings)
+{
+    ++node->sessions;
+    change(node->measured, gauge_id::caller_connections, 1);
+    co_await serve_caller(std::move(caller), settings);
+    change(node->measured, gauge_id::caller_connections, -1);
+    --node->sessions;
+}
+
+void serve_side(
+    node_runtime& node, tcp_acceptor& acceptor, session_side side)
+{
+    const auto serve =
+        [&node, side](request_thread& thread, asio::ip::tcp::socket socket)
+    {
+        if (node.sessions >= node.services.limits.max_connections)
+        {
+            // Closed at once: an answer would need a session of its own.
+            return;
+        }
+        auto caller =
+            std::make_shared<caller_connection>(thread, std::move(socket));
+        asio::co_spawn(
+            thread.io,
+            run_session(
+                &node, std::move(caller), {side, &node.upstream_side}),
+            asio::detached);
+    };
+    asio::co_spawn(
+        acceptor.get_executor(), accept_loop(&node, &acceptor, serve),
+        asio::detached);
+}
+
+void serve_peers(node_runtime& node)
+{
+    const auto serve =
+        [](request_thread& thread, asio::ip::tcp::socket socket)
+    {
+        asio::post(
+            thread.io,
+            [&thread, moved = std::make_shared<asio::ip::tcp::socket>(
+                          std::move(socket))]
+            {
+                accept_peer(thread.links, std::move(*moved));
+            });
+    };
+    asio::co_spawn(
+        node.peers_acceptor->get_executor(),
+        accept_loop(&node, node.peers_acceptor.get(), serve), asio::detached);
+}
+
+asio::awaitable<void> tick_gate_regularly(node_runtime* node)
+{
+    asio::steady_timer timer(node->threads.front()->io);
+    while (true)
+    {
+        timer.expires_after(gate_tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+        tick_gate(node->gate);
+    }
+}
+
+http_limits limits_of(const limit_settings& settings)
+{
+    return {
+        settings.max_header_bytes, settings.max_body_bytes,
+        settings.header_timeout,   settings.idle_timeout,
+        settings.body_stall_timeout, settings.max_connections};
+}
+
+control_settings control_settings_of(const node_runtime& node)
+{
+    control_settings settings;
+    const data_centre_id data_centre =
+        data_centre_id_of(node.settings.data_centre);
+    auto& membership = settings.membership;
+    membership.self = node.services.self;
+    membership.data_centre = data_centre;
+    membership.data_centre_name = node.settings.data_centre;
+    for (const auto& seed : node.settings.seeds)
+    {
+        membership.seeds.push_back(host_id_of(seed));
+    }
+    membership.probe_interval = node.settings.membership.probe_interval;
+    membership.probe_timeout = node.settings.membership.probe_timeout;
+    membership.suspicion_time = node.settings.membership.suspicion_time;
+    membership.indirect_probes = node.settings.membership.indirect_probes;
+    settings.chain = {node.services.self, data_centre};
+    settings.rates.self = node.services.self;
+    settings.rates.data_centre = data_centre;
+    settings.rates.term = node.settings.rates.term;
+    settings.claims.self = node.services.self;
+    settings.claims.data_centre = data_centre;
+    settings.claims.retention = node.settings.claims.retention;
+    settings.claims.claim_term = node.settings.claims.term;
+    return settings;
+}
+
+// Ties the parts to each other by the calls they make across threads.
+void connect_parts(node_runtime& node)
+{
+    node.services.record = [&node](const event& seen)
+    {
+        node.events->record(seen);
+    };
+    node.services.run_local = [&node](const exchange_ptr& work)
+    {
+        run_at_gate(node.gate, work);
+    };
+    node.services.on_control_message =
+        [&node](
+            host_id from, message_kind kind, std::vector<std::uint8_t> payload)
+    {
+        post_control_message(node.control, from, kind, std::move(payload));
+    };
+    node.services.on_peer_heard = [](host_id) {};
+    node.control_side.ask_claim = [&node](const claim_question& question)
+    {
+        post_claim_question(node.control, question);
+    };
+    node.control_side.complete_claim =
+        [&node](const claim_completion& completion)
+    {
+        post_claim_completion(node.control, completion);
+    };
+    node.control_side.issue_ticket =
+        [&node](std::function<void(std::string)> callback)
+    {
+        post_ticket(node.control, std::move(callback));
+    };
+    node.gate.check_claim =
+        [&node](const claim_grant& grant, std::function<void(bool)> callback)
+    {
+        post_claim_check(node.control, grant, std::move(callback));
+    };
+    node.upstream_side.announce =
+        [&node](const upstream_announcement& announcement)
+    {
+        post_announcement(node.control, announcement);
+    };
+    node.upstream_side.drain = [&node]
+    {
+        post_upstream_drain(node.control);
+    };
+    node.upstream_side.leave = [&node]
+    {
+        post_upstream_leave(node.control);
+    };
+}
+
+operator_reply events_reply(node_runtime& node, const std::string& target)
+{
+    const auto [query, found] = read_event_query(target);
+    if (found.empty())
+    {
+        return {
+            200, "application/json",
+            write_event_page(node.events->page(query))};
+    }
+    boost::json::array list;
+    for (const auto& [place, message] : found)
+    {
+        list.push_back(
+            boost::json::object{{"place", place}, {"message", message}});
+    }
+    return {
+        422, "application/json",
+        boost::json::serialize(boost::json::object{{"findings", list}})};
+}
+
+std::string metrics_text(node_runtime& node)
+{
+    measure_memory(node.measured);
+    const load_report load = report_of(node.gate);
+    set(node.measured, gauge_id::gate_queue, load.queued);
+    set(node.measured, gauge_id::gate_limit, load.limit);
+    set(node.measured, gauge_id::gate_in_flight, load.in_flight);
+    set(
+        node.measured, gauge_id::configuration_revision,
+        static_cast<std::int64_t>(node.control.state.chain.current->revision));
+    set(
+        node.measured, gauge_id::platform_reachable,
+        node.control.platform_reachable ? 1 : 0);
+    return write_prometheus(node.measured);
+}
+
+void prepare_operators(node_runtime& node, const std::string& credential)
+{
+    node.operators.control = &node.control;
+    node.operators.credential = credential;
+    node.operators.node_name = node.settings.name;
+    node.operators.metrics = [&node]
+    {
+        return metrics_text(node);
+    };
+    node.operators.events = [&node](const std::string& target)
+    {
+        return events_reply(node, target);
+    };
+    node.operators.drain = [&node]
+    {
+        node.stop_asked = true;
+    };
+}
+
+void start_serving(node_runtime& node)
+{
+    serve_side(node, *node.callers_acceptor, session_side::callers);
+    serve_side(node, *node.upstream_acceptor, session_side::upstream);
+    serve_peers(node);
+    asio::co_spawn(
+        node.control.io,
+        serve_operators(node.operators, *node.operators_acceptor),
+        asio::detached);
+    asio::co_spawn(
+        node.threads.front()->io, tick_gate_regularly(&node), asio::detached);
+    node.running.emplace_back(
+        [&node]
+        {
+            node.control.io.run();
+        });
+    for (const auto& thread : node.threads)
+    {
+        node.running.emplace_back(
+            [&io = thread->io]
+            {
+                io.run();
+            });
+    }
+}
+
+void record_lifecycle(node_runtime& node, event_kind kind, std::string detail)
+{
+    event seen;
+    seen.kind = kind;
+    seen.detail = detail;
+    node.services.record(seen);
+    write_log(
+        node.log, log_level::info, std::string(name_of(kind)),
+        {{"detail", detail}, {"host", to_string(node.services.self)}});
+}
+
+// Requests under way on any thread, asked on that thread.
+std::size_t streams_of(request_thread& thread)
+{
+    std::promise<std::size_t> count;
+    asio::post(
+        thread.io,
+        [&]
+        {
+            count.set_value(open_streams(thread.links));
+        });
+    return count.get_future().get();
+}
+
+std::size_t work_left(node_runtime& node)
+{
+    std::size_t left = requests_at(node.gate) + node.sessions;
+    for (const auto& thread : node.threads)
+    {
+        left += streams_of(*thread);
+    }
+    return left;
+}
+
+// Waits until nothing is under way. Returns what is when time is up.
+std::size_t wait_for_work(
+    node_runtime& node, const std::atomic<bool>& hurry, time_point until)
+{
+    std::size_t left = work_left(node);
+    while (left > 0 && !hurry && now() < until)
+    {
+        std::this_thread::sleep_for(stop_poll_interval);
+        left = work_left(node);
+    }
+    return left;
+}
+
+void wait_unless(const std::atomic<bool>& hurry, duration time)
+{
+    const time_point until = now() + time;
+    while (!hurry && now() < until)
+    {
+        std::this_thread::sleep_for(stop_poll_interval);
+    }
+}
+
+void stop_threads(node_runtime& node)
+{
+    for (const auto& thread : node.threads)
+    {
+        thread->io.stop();
+    }
+    node.control.io.stop();
+    for (auto& thread : node.running)
+    {
+        thread.join();
+    }
+    node.running.clear();
+}
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<node_runtime>> start_node(
+    const node_settings& settings, const node_secrets& secrets,
+    const json_log& log)
+{
+    const std::uint64_t started_ms = wall_clock_ms();
+    auto node = std::make_shared<node_runtime>(settings, log, started_ms);
+    node->services.fleet_secret = secrets.fleet_secret;
+    node->services.path.fleet_secret = secrets.fleet_secret;
+    node->services.self_incarnation = started_ms;
+    node->services.limits = limits_of(settings.limits);
+    for (unsigned i = 0; i < settings.request_threads; ++i)
+    {
+        node->threads.push_back(std::make_unique<request_thread>(
+            node->services, node->gate, node->wakeups, node->control_side,
+            started_ms + i + 1));
+        node->gate.executors.push_back(
+            node->threads.back()->io.get_executor());
+    }
+    try
+    {
+        bind_ports(*node);
+        const ip_endpoint advertised =
+            settings.advertise.value_or(node->ports.peers);
+        node->services.self = host_id_of(advertised);
+        node->services.path.self = node->services.self;
+        node->events = std::make_unique<shared_event_ring>(
+            node->services.self, settings.name, settings.event_ring_size);
+        connect_parts(*node);
+        prepare_operators(*node, secrets.operator_credential);
+        platform_connection_settings platform;
+        platform.endpoint = tcp_endpoint_of(settings.platform);
+        platform.seed = started_ms;
+        start_control(
+            node->control, control_settings_of(*node), open_datagrams(*node),
+            platform);
+    }
+    catch (const boost::system::system_error& error)
+    {
+        return absl::UnavailableError(error.what());
+    }
+    start_serving(*node);
+    record_lifecycle(*node, event_kind::node_started, settings.name);
+    return node;
+}
+
+bound_ports ports_of(const node_runtime& node)
+{
+    return node.ports;
+}
+
+bool stop_requested(const node_runtime& node)
+{
+    return node.stop_asked;
+}
+
+stop_report stop_node(node_runtime& node, const std::atomic<bool>& hurry)
+{
+    record_lifecycle(node, event_kind::node_stopping, node.settings.name);
+    const time_point until = now() + node.settings.stop_timeout;
+    // Callers are served on, each told to open its next connection elsewhere.
+    node.services.path.draining = true;
+    post_leave(node.control);
+    wait_unless(hurry, leave_notice);
+    for (const auto& thread : node.threads)
+    {
+        asio::post(
+            thread->io,
+            [&thread = *thread]
+            {
+                announce_going_away(thread.links);
+                for (const auto& caller : thread.idle)
+                {
+                    caller->stream.close();
+                }
+            });
+    }
+    asio::post(
+        node.threads.front()->io,
+        [&node]
+        {
+            boost::system::error_code ignored;
+            node.callers_acceptor->close(ignored);
+        });
+    const std::size_t left = wait_for_work(node, hurry, until);
+    record_lifecycle(
+        node, event_kind::node_stopped, std::to_string(left) + " cut");
+    stop_threads(node);
+    return {left};
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/operators_api.hpp
@@ -0,0 +1,56 @@
+// The operators' HTTP port: intents, status, configuration, events, metrics.
+// Served on the control thread, which owns what it shows.
+#pragma once
+
+#include "adapters/control_loop.hpp"
+
+#include <boost/asio.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace cyclamenhold
+{
+
+struct operator_request
+{
+    std::string method;
+    // Path and query.
+    std::string target;
+    std::string body;
+};
+
+struct operator_reply
+{
+    unsigned status = 200;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+using operator_callback = std::function<void(operator_reply)>;
+
+// What the port needs beside the control loop.
+struct operators_api
+{
+    control_loop* control = nullptr;
+    std::string credential;
+    std::string node_name;
+    // The text of GET /metrics.
+    std::function<std::string()> metrics;
+    // The answer to GET /v1/events, by its target.
+    std::function<operator_reply(const std::string&)> events;
+    // Begins the node's planned stop.
+    std::function<void()> drain;
+};
+
+// Answers one authenticated request; calls back once, at once or later.
+void handle_operator_request(
+    operators_api& api, const operator_request& request,
+    operator_callback done);
+
+// Serves connections until the acceptor is closed.
+[[nodiscard]] asio::awaitable<void>
+serve_operators(operators_api& api, asio::ip::tcp::acceptor& acceptor);
+
+} // namespace cyclamenhold
