Read settings, write logs and metrics, keep events under a hybrid clock

Change: one table of settings gives the reader, its findings and the page for operators; logs are JSON lines through log4cplus; metrics are one fixed set with Boost.Histogram for times; events carry a hybrid logical clock, sit in a bounded ring and merge into one time line by a pure function. Conclusion: ready for the node to use; process tests follow with the node.

--- /dev/null
+++ b/src/adapters/metrics.hpp
@@ -0,0 +1,159 @@
+// The metrics of a node: a fixed set of counters, gauges and histograms, in the
+// Prometheus text format. Counting is wait-free and may be done by any thread.
+#pragma once
+
+#include "core/base/names.hpp"
+#include "core/base/outcome.hpp"
+#include "core/base/time.hpp"
+#include "ports/platform.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/histogram.hpp>
+
+namespace cyclamenhold
+{
+
+// Values that only grow. Those with labels have functions of their own below.
+enum class counter_id : std::uint8_t
+{
+    attempts,
+    retries,
+    child_calls,
+    rate_admitted,
+    rate_refused,
+    loans_granted,
+    loans_returned,
+    claims_granted,
+    claims_refused,
+    gate_started,
+    gate_refused,
+    caller_connections_opened,
+    peer_links_opened,
+    peer_links_rejected,
+    peer_bytes_received,
+    peer_bytes_sent,
+    datagrams_received,
+    datagrams_sent,
+    datagram_bytes_received,
+    datagram_bytes_sent,
+    bad_inputs,
+    events_overwritten,
+    control_microseconds
+};
+
+constexpr std::size_t counter_count = 23;
+
+// Values that go up and down.
+enum class gauge_id : std::uint8_t
+{
+    requests_in_flight,
+    gate_queue,
+    gate_limit,
+    gate_in_flight,
+    caller_connections,
+    peers_connected,
+    members_alive,
+    members_suspect,
+    upstreams_usable,
+    configuration_revision,
+    platform_reachable,
+    resident_bytes
+};
+
+constexpr std::size_t gauge_count = 12;
+
+// Distributions of times.
+enum class histogram_id : std::uint8_t
+{
+    request_latency,
+    added_latency,
+    gate_wait,
+    token_wait,
+    claim_latency,
+    platform_latency
+};
+
+constexpr std::size_t histogram_count = 6;
+
+// How a metric appears in the text format.
+struct metric_description
+{
+    std::string_view name;
+    std::string_view help;
+};
+
+[[nodiscard]] const metric_description& description_of(counter_id id);
+[[nodiscard]] const metric_description& description_of(gauge_id id);
+[[nodiscard]] const metric_description& description_of(histogram_id id);
+
+// From 10 us to 100 s, ten buckets a decade.
+using latency_axis = boost::histogram::axis::regular<
+    double, boost::histogram::axis::transform::log>;
+using latency_storage = boost::histogram::dense_storage<
+    boost::histogram::accumulators::count<std::uint64_t, true>>;
+using latency_buckets =
+    boost::histogram::histogram<std::tuple<latency_axis>, latency_storage>;
+
+struct latency_histogram
+{
+    latency_histogram();
+    latency_buckets buckets;
+    std::atomic<std::uint64_t> sum_ns{0};
+};
+
+constexpr std::size_t outcome_count = enum_names<outcome>::table.size();
+constexpr std::size_t refusal_count = enum_names<refusal>::table.size();
+constexpr std::size_t platform_operation_count =
+    enum_names<platform_operation>::table.size();
+constexpr std::size_t platform_status_count =
+    enum_names<platform_status>::table.size();
+
+using counter_cell = std::atomic<std::uint64_t>;
+
+struct metrics
+{
+    std::array<counter_cell, counter_count> counters{};
+    std::array<std::atomic<std::int64_t>, gauge_count> gauges{};
+    std::array<latency_histogram, histogram_count> histograms;
+    // Indexed by refusal, then outcome.
+    std::array<std::array<counter_cell, outcome_count>, refusal_count>
+        requests{};
+    // Indexed by priority class.
+    std::array<counter_cell, priority_class_count> refused_by_class{};
+    // Indexed by operation, then status.
+    std::array<
+        std::array<counter_cell, platform_status_count>,
+        platform_operation_count>
+        platform_calls{};
+};
+
+void add(metrics& to, counter_id id, std::uint64_t amount = 1);
+void set(metrics& to, gauge_id id, std::int64_t value);
+void change(metrics& to, gauge_id id, std::int64_t difference);
+void observe(metrics& to, histogram_id id, duration value);
+
+// A request of a caller was answered; refusal::none for an upstream's reply.
+void count_request(metrics& to, refusal reason, outcome result);
+void count_refused_class(metrics& to, priority_class priority);
+void count_platform_call(
+    metrics& to, platform_operation operation, platform_status status);
+
+[[nodiscard]] std::uint64_t value_of(const metrics& of, counter_id id);
+
+// The value that a share of the observations does not exceed, to the upper
+// bound of its bucket; zero without any.
+[[nodiscard]] duration
+quantile(const metrics& of, histogram_id id, double share);
+
+// All metrics, in the Prometheus text format.
+[[nodiscard]] std::string write_prometheus(const metrics& from);
+
+// Sets the gauge of this process's resident memory from /proc/self/statm.
+void measure_memory(metrics& to);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/settings.hpp
@@ -0,0 +1,117 @@
+// The settings of a node: a JSON file with comments, read once at start.
+#pragma once
+
+#include "adapters/log_level.hpp"
+#include "core/base/findings.hpp"
+#include "core/base/ip_endpoint.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct listen_settings
+{
+    // HTTP/1.1 for callers.
+    ip_endpoint callers;
+    // HTTP/1.1 for the upstream on this host; a loopback address.
+    ip_endpoint upstream;
+    // Other nodes: TCP and UDP at the same port.
+    ip_endpoint peers;
+    // The operators' API, metrics and events.
+    ip_endpoint operators;
+};
+
+struct limit_settings
+{
+    std::uint32_t max_header_bytes = 16 * 1024;
+    std::uint64_t max_body_bytes = 256ULL * 1024 * 1024;
+    std::chrono::milliseconds header_timeout{10'000};
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::chrono::milliseconds body_stall_timeout{10'000};
+    std::uint32_t max_connections = 10'000;
+};
+
+struct membership_timings
+{
+    std::chrono::milliseconds probe_interval{500};
+    std::chrono::milliseconds probe_timeout{200};
+    std::chrono::milliseconds suspicion_time{3'000};
+    std::uint32_t indirect_probes = 3;
+};
+
+struct rate_settings
+{
+    // How long a pledge or a loan lasts.
+    std::chrono::milliseconds term{5'000};
+};
+
+struct claim_settings
+{
+    // How long the outcome of a never-repeat request is kept.
+    std::chrono::milliseconds retention{600'000};
+    // How long a claim may be used after it was granted.
+    std::chrono::milliseconds term{30'000};
+};
+
+struct log_settings
+{
+    log_level level = log_level::info;
+    // "-" for the standard error stream.
+    std::string file = "-";
+};
+
+struct node_settings
+{
+    std::string name;
+    std::string data_centre;
+    std::string region;
+    listen_settings listen;
+    // Where other nodes reach this one; `listen.peers` when not given.
+    std::optional<ip_endpoint> advertise;
+    // One of each pair is given.
+    std::string fleet_secret_file;
+    std::string fleet_secret;
+    std::string operator_credential_file;
+    std::string operator_credential;
+    ip_endpoint platform;
+    // Peer endpoints to join by, beside those found in the platform.
+    std::vector<ip_endpoint> seeds;
+    std::uint32_t request_threads = 2;
+    limit_settings limits;
+    membership_timings membership;
+    rate_settings rates;
+    claim_settings claims;
+    log_settings log;
+    // Events kept in memory for the time line.
+    std::uint32_t event_ring_size = 65'536;
+    // A planned stop that takes longer cuts what is left.
+    std::chrono::milliseconds stop_timeout{30'000};
+};
+
+struct settings_result
+{
+    // Meaningful only without findings.
+    node_settings settings;
+    findings found;
+};
+
+// Reads the text of a settings file. Each finding is placed by a JSON pointer,
+// or by line and column when the text is not JSON.
+[[nodiscard]] settings_result parse_settings(std::string_view text);
+
+// Reads a settings file; a file that cannot be read is a finding, too.
+[[nodiscard]] settings_result load_settings(const std::string& path);
+
+// Where other nodes reach this one.
+[[nodiscard]] ip_endpoint advertised_endpoint(const node_settings& settings);
+
+// The table of all settings as a page for operators, in Markdown.
+[[nodiscard]] std::string settings_reference();
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/settings_checks.cpp
@@ -0,0 +1,142 @@
+#include "adapters/settings_checks.hpp"
+
+#include "adapters/settings_table.hpp"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr std::uint32_t loopback_network = 127;
+constexpr unsigned network_shift = 24;
+
+void check_presence(settings_result& result, const settings_places& seen)
+{
+    for (const auto& entry : settings_table())
+    {
+        if (entry.presence == setting_presence::required &&
+            !seen.contains(entry.place))
+        {
+            add_finding(result.found, std::string(entry.place), "is missing");
+        }
+    }
+}
+
+// Either the value itself or its file must be given, not both.
+void check_secret(
+    const std::string& place, settings_result& result,
+    const settings_places& seen)
+{
+    const bool direct = seen.contains(place);
+    const bool file = seen.contains(place + "_file");
+    if (direct && file)
+    {
+        add_finding(
+            result.found, place, "cannot stand beside " + place + "_file");
+    }
+    if (!direct && !file)
+    {
+        add_finding(result.found, place + "_file", "is missing");
+    }
+}
+
+bool is_loopback(const ip_endpoint& endpoint)
+{
+    return endpoint.address >> network_shift == loopback_network;
+}
+
+void check_listen(settings_result& result, const settings_places& seen)
+{
+    auto& [settings, found] = result;
+    const auto& listen = settings.listen;
+    if (seen.contains("/listen/upstream") && listen.upstream != ip_endpoint{} &&
+        !is_loopback(listen.upstream))
+    {
+        add_finding(found, "/listen/upstream", "must be a loopback address");
+    }
+    struct placed_endpoint
+    {
+        std::string_view place;
+        ip_endpoint endpoint;
+    };
+    const std::array<placed_endpoint, 4> endpoints{
+        {{"/listen/callers", listen.callers},
+         {"/listen/upstream", listen.upstream},
+         {"/listen/peers", listen.peers},
+         {"/listen/operators", listen.operators}}};
+    for (std::size_t index = 1; index < endpoints.size(); ++index)
+    {
+        const auto& [place, endpoint] = endpoints[index];
+        const auto earlier = std::find_if(
+            endpoints.begin(), endpoints.begin() + index,
+            [&endpoint = endpoint](const placed_endpoint& other)
+            {
+                return other.endpoint == endpoint;
+            });
+        if (endpoint.port != 0 && earlier != endpoints.begin() + index)
+        {
+            add_finding(
+                found, std::string(place),
+                "is the same as " + std::string(earlier->place));
+        }
+    }
+}
+
+void check_advertise(settings_result& result, const settings_places& seen)
+{
+    auto& [settings, found] = result;
+    if (settings.advertise)
+    {
+        if (settings.advertise->port == 0 || settings.advertise->address == 0)
+        {
+            add_finding(
+                found, "/advertise", "must be an address and port to reach");
+        }
+        return;
+    }
+    if (seen.contains("/listen/peers") && settings.listen.peers.address == 0)
+    {
+        add_finding(
+            found, "/advertise",
+            "is missing, and /listen/peers names no address to reach");
+    }
+}
+
+void check_membership(settings_result& result)
+{
+    auto& [settings, found] = result;
+    if (settings.membership.probe_timeout > settings.membership.probe_interval)
+    {
+        add_finding(
+            found, "/membership/probe_timeout_ms",
+            "must not be longer than /membership/probe_interval_ms");
+    }
+}
+
+void check_platform(settings_result& result)
+{
+    const auto& platform = result.settings.platform;
+    if (platform.address != 0 && platform.port == 0)
+    {
+        add_finding(result.found, "/platform", "must have a port");
+    }
+}
+
+} // namespace
+
+void check_settings(settings_result& result, const settings_places& seen)
+{
+    check_presence(result, seen);
+    check_secret("/fleet_secret", result, seen);
+    check_secret("/operator_credential", result, seen);
+    check_listen(result, seen);
+    check_advertise(result, seen);
+    check_membership(result);
+    check_platform(result);
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/settings_table.cpp
@@ -0,0 +1,146 @@
+#include "adapters/settings_table.hpp"
+
+#include <array>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr std::uint64_t mebibyte = 1024ULL * 1024;
+constexpr std::uint64_t hour_ms = 3'600'000;
+
+// The function that gives `settings.path`, for the table below.
+#define CYCLAMEN_MEMBER(path)                                                  \
+    +[](node_settings& settings) -> decltype((settings.path))                  \
+    {                                                                          \
+        return settings.path;                                                  \
+    }
+
+using enum setting_presence;
+
+const std::array table{
+    setting_entry{
+        "/name", CYCLAMEN_MEMBER(name), required, 0, 0, "",
+        "The node's name in logs, events and status."},
+    setting_entry{
+        "/data_centre", CYCLAMEN_MEMBER(data_centre), required, 0, 0, "",
+        "The data centre that the host stands in, by its configured name."},
+    setting_entry{
+        "/region", CYCLAMEN_MEMBER(region), required, 0, 0, "",
+        "The region that the data centre belongs to."},
+    setting_entry{
+        "/listen/callers", CYCLAMEN_MEMBER(listen.callers), required, 0, 0, "",
+        "HTTP/1.1 for callers."},
+    setting_entry{
+        "/listen/upstream", CYCLAMEN_MEMBER(listen.upstream), required, 0, 0,
+        "",
+        "HTTP/1.1 for the upstream on this host: announcements, drain and "
+        "child calls. Must be a loopback address."},
+    setting_entry{
+        "/listen/peers", CYCLAMEN_MEMBER(listen.peers), required, 0, 0, "",
+        "Other nodes; TCP and UDP at the same port."},
+    setting_entry{
+        "/listen/operators", CYCLAMEN_MEMBER(listen.operators), required, 0, 0,
+        "", "The operators' API, the metrics and the events."},
+    setting_entry{
+        "/advertise", CYCLAMEN_MEMBER(advertise), optional, 0, 0, "",
+        "Where other nodes reach this one. Required when `/listen/peers` is "
+        "0.0.0.0; otherwise the same as that."},
+    setting_entry{
+        "/fleet_secret_file", CYCLAMEN_MEMBER(fleet_secret_file), optional, 0,
+        0, "",
+        "File with the secret that all nodes share; it authenticates peers "
+        "and keys."},
+    setting_entry{
+        "/fleet_secret", CYCLAMEN_MEMBER(fleet_secret), optional, 0, 0, "",
+        "The fleet secret itself instead of its file, for tests."},
+    setting_entry{
+        "/operator_credential_file", CYCLAMEN_MEMBER(operator_credential_file),
+        optional, 0, 0, "",
+        "File with the credential that operators show to the API."},
+    setting_entry{
+        "/operator_credential", CYCLAMEN_MEMBER(operator_credential), optional,
+        0, 0, "", "The credential itself instead of its file, for tests."},
+    setting_entry{
+        "/platform", CYCLAMEN_MEMBER(platform), required, 0, 0, "",
+        "The platform's key-value service."},
+    setting_entry{
+        "/seeds", CYCLAMEN_MEMBER(seeds), optional, 0, 0, "",
+        "Peer endpoints of nodes to join by while the platform is away."},
+    setting_entry{
+        "/request_threads", CYCLAMEN_MEMBER(request_threads), optional, 1, 64,
+        "threads", "Threads that carry requests."},
+    setting_entry{
+        "/limits/max_header_bytes", CYCLAMEN_MEMBER(limits.max_header_bytes),
+        optional, 1024, mebibyte, "bytes",
+        "Longest request line and header fields together."},
+    setting_entry{
+        "/limits/max_body_bytes", CYCLAMEN_MEMBER(limits.max_body_bytes),
+        optional, 0, 1024 * 1024 * mebibyte, "bytes",
+        "Longest body of a request or a reply."},
+    setting_entry{
+        "/limits/header_timeout_ms", CYCLAMEN_MEMBER(limits.header_timeout),
+        optional, 10, hour_ms, "ms",
+        "A caller whose request header takes longer is cut off."},
+    setting_entry{
+        "/limits/idle_timeout_ms", CYCLAMEN_MEMBER(limits.idle_timeout),
+        optional, 10, hour_ms, "ms",
+        "A kept-alive connection without a request is closed after this."},
+    setting_entry{
+        "/limits/body_stall_timeout_ms",
+        CYCLAMEN_MEMBER(limits.body_stall_timeout), optional, 10, hour_ms, "ms",
+        "A body that makes no progress for this long is cut off."},
+    setting_entry{
+        "/limits/max_connections", CYCLAMEN_MEMBER(limits.max_connections),
+        optional, 1, 1'000'000, "connections", "Callers' connections at once."},
+    setting_entry{
+        "/membership/probe_interval_ms",
+        CYCLAMEN_MEMBER(membership.probe_interval), optional, 10, 60'000, "ms",
+        "Time between two probes of random members."},
+    setting_entry{
+        "/membership/probe_timeout_ms",
+        CYCLAMEN_MEMBER(membership.probe_timeout), optional, 1, 60'000, "ms",
+        "A probe without an answer for this long is tried indirectly."},
+    setting_entry{
+        "/membership/suspicion_ms", CYCLAMEN_MEMBER(membership.suspicion_time),
+        optional, 10, 600'000, "ms",
+        "A suspect that does not refute for this long is taken for dead."},
+    setting_entry{
+        "/membership/indirect_probes",
+        CYCLAMEN_MEMBER(membership.indirect_probes), optional, 0, 16, "members",
+        "Members asked to probe a silent one."},
+    setting_entry{
+        "/rates/term_ms", CYCLAMEN_MEMBER(rates.term), optional, 100, 600'000,
+        "ms", "How long a pledge or a loan of rate lasts."},
+    setting_entry{
+        "/claims/retention_ms", CYCLAMEN_MEMBER(claims.retention), optional,
+        1000, 24 * hour_ms, "ms",
+        "How long the outcome of a never-repeat request is kept."},
+    setting_entry{
+        "/claims/term_ms", CYCLAMEN_MEMBER(claims.term), optional, 100, 600'000,
+        "ms", "How long a claim may be used after it was granted."},
+    setting_entry{
+        "/log/level", CYCLAMEN_MEMBER(log.level), optional, 0, 0, "",
+        "The least serious lines that are written."},
+    setting_entry{
+        "/log/file", CYCLAMEN_MEMBER(log.file), optional, 0, 0, "",
+        "Where lines go; `-` is the standard error stream."},
+    setting_entry{
+        "/event_ring_size", CYCLAMEN_MEMBER(event_ring_size), optional, 0,
+        10'000'000, "events", "Events kept in memory for the time line."},
+    setting_entry{
+        "/stop_timeout_ms", CYCLAMEN_MEMBER(stop_timeout), optional, 0, hour_ms,
+        "ms", "A planned stop that takes longer cuts what is left."},
+};
+
+#undef CYCLAMEN_MEMBER
+
+} // namespace
+
+std::span<const setting_entry> settings_table()
+{
+    return table;
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/events/time_line.hpp
@@ -0,0 +1,16 @@
+// Merges the events of several hosts into one time line.
+#pragma once
+
+#include "core/events/event_ring.hpp"
+
+#include <vector>
+
+namespace cyclamenhold
+{
+
+// All records that match, ordered by hybrid time, then host. A record that is
+// in several inputs appears once. The query's limit does not apply.
+[[nodiscard]] std::vector<event_record> merge_time_line(
+    std::vector<std::vector<event_record>> inputs, const event_query& query);
+
+} // namespace cyclamenhold
