--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -20,8 +20,7 @@
 
 struct node_runtime
 {
-    node_runtime(
-        const node_settings& given, json_log sink, std::uint64_t seed)
+    node_runtime(const node_settings& given, json_log sink, std::uint64_t seed)
         : settings(given),
           log(std::move(sink)),
           gate(services),
@@ -88,8 +87,7 @@
     node.callers_acceptor = open_acceptor(first, listen.callers);
     node.upstream_acceptor = open_acceptor(first, listen.upstream);
     node.peers_acceptor = open_acceptor(first, listen.peers);
-    node.operators_acceptor =
-        open_acceptor(node.control.io, listen.operators);
+    node.operators_acceptor = open_acceptor(node.control.io, listen.operators);
     node.ports.callers = bound_endpoint(*node.callers_acceptor);
     node.ports.upstream = bound_endpoint(*node.upstream_acceptor);
     node.ports.peers = bound_endpoint(*node.peers_acceptor);
@@ -123,8 +121,8 @@
     }
 }
 
-asio::awaitable<void> run_session(
-    node_runtime* node, caller_ptr caller, session_settings settings)
+asio::awaitable<void>
+run_session(node_runtime* node, caller_ptr caller, session_settings settings)
 {
     ++node->sessions;
     change(node->measured, gauge_id::caller_connections, 1);
@@ -133,8 +131,7 @@
     --node->sessions;
 }
 
-void serve_side(
-    node_runtime& node, tcp_acceptor& acceptor, session_side side)
+void serve_side(node_runtime& node, tcp_acceptor& acceptor, session_side side)
 {
     const auto serve =
         [&node, side](request_thread& thread, asio::ip::tcp::socket socket)
@@ -148,8 +145,7 @@
             std::make_shared<caller_connection>(thread, std::move(socket));
         asio::co_spawn(
             thread.io,
-            run_session(
-                &node, std::move(caller), {side, &node.upstream_side}),
+            run_session(&node, std::move(caller), {side, &node.upstream_side}),
             asio::detached);
     };
     asio::co_spawn(
@@ -159,13 +155,12 @@
 
 void serve_peers(node_runtime& node)
 {
-    const auto serve =
-        [](request_thread& thread, asio::ip::tcp::socket socket)
+    const auto serve = [](request_thread& thread, asio::ip::tcp::socket socket)
     {
         asio::post(
             thread.io,
-            [&thread, moved = std::make_shared<asio::ip::tcp::socket>(
-                          std::move(socket))]
+            [&thread,
+             moved = std::make_shared<asio::ip::tcp::socket>(std::move(socket))]
             {
                 accept_peer(thread.links, std::move(*moved));
             });
@@ -188,10 +183,9 @@
 
 http_limits limits_of(const limit_settings& settings)
 {
-    return {
-        settings.max_header_bytes, settings.max_body_bytes,
-        settings.header_timeout,   settings.idle_timeout,
-        settings.body_stall_timeout, settings.max_connections};
+    return {settings.max_header_bytes,   settings.max_body_bytes,
+            settings.header_timeout,     settings.idle_timeout,
+            settings.body_stall_timeout, settings.max_connections};
 }
 
 control_settings control_settings_of(const node_runtime& node)
@@ -301,11 +295,9 @@
     set(node.measured, gauge_id::gate_queue, load.queued);
     set(node.measured, gauge_id::gate_limit, load.limit);
     set(node.measured, gauge_id::gate_in_flight, load.in_flight);
-    set(
-        node.measured, gauge_id::configuration_revision,
+    set(node.measured, gauge_id::configuration_revision,
         static_cast<std::int64_t>(node.control.state.chain.current->revision));
-    set(
-        node.measured, gauge_id::platform_reachable,
+    set(node.measured, gauge_id::platform_reachable,
         node.control.platform_reachable ? 1 : 0);
     return write_prometheus(node.measured);
 }
@@ -442,8 +434,7 @@
         node->threads.push_back(std::make_unique<request_thread>(
             node->services, node->gate, node->wakeups, node->control_side,
             started_ms + i + 1));
-        node->gate.executors.push_back(
-            node->threads.back()->io.get_executor());
+        node->gate.executors.push_back(node->threads.back()->io.get_executor());
     }
     try
     {
--- a/src/adapters/operators_port.cpp
+++ b/src/adapters/operators_port.cpp
@@ -33,8 +33,8 @@
     std::array<unsigned char, SHA256_DIGEST_LENGTH> left{};
     std::array<unsigned char, SHA256_DIGEST_LENGTH> right{};
     SHA256(
-        reinterpret_cast<const unsigned char*>(offered.data()),
-        offered.size(), left.data());
+        reinterpret_cast<const unsigned char*>(offered.data()), offered.size(),
+        left.data());
     SHA256(
         reinterpret_cast<const unsigned char*>(expected.data()),
         expected.size(), right.data());
--- /dev/null
+++ b/src/apps/cyclamen-node/main.cpp
@@ -0,0 +1,156 @@
+// cyclamen-node: the process beside each upstream.
+#include "adapters/node_runtime.hpp"
+#include "adapters/secrets.hpp"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+
+namespace
+{
+
+using namespace cyclamenhold;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+// Some requests were cut when the stop took too long.
+constexpr int exit_cut = 3;
+
+std::atomic<int> signals_seen{0};
+
+void on_signal(int /*number*/)
+{
+    ++signals_seen;
+}
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options("cyclamen-node", "The node of an upstream host.");
+    options.add_options()("help", "show this text")(
+        "version", "show the version")(
+        "settings", "the settings file",
+        cxxopts::value<std::string>())("check", "check the settings and exit");
+    return options;
+}
+
+void print_ports(const bound_ports& ports)
+{
+    const boost::json::object line{
+        {"callers", to_string(ports.callers)},
+        {"upstream", to_string(ports.upstream)},
+        {"peers", to_string(ports.peers)},
+        {"operators", to_string(ports.operators)}};
+    std::cout << boost::json::serialize(line) << std::endl;
+}
+
+// Waits for a signal or an operator's request, then stops.
+int run_until_stopped(node_runtime& node)
+{
+    while (signals_seen == 0 && !stop_requested(node))
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    const int before = signals_seen;
+    std::atomic<bool> hurry{false};
+    std::atomic<bool> stopped{false};
+    // A second signal ends the wait.
+    std::thread watcher(
+        [&]
+        {
+            while (!stopped && signals_seen <= std::max(before, 1))
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+            hurry = true;
+        });
+    const stop_report report = stop_node(node, hurry);
+    stopped = true;
+    watcher.join();
+    if (report.cut > 0)
+    {
+        std::cerr << "stopped with " << report.cut << " requests under way\n";
+        return exit_cut;
+    }
+    return exit_ok;
+}
+
+int run(const cxxopts::ParseResult& arguments)
+{
+    auto [settings, found] =
+        load_settings(arguments["settings"].as<std::string>());
+    node_secrets secrets;
+    if (found.empty())
+    {
+        secrets.fleet_secret = resolve_secret(
+            settings.fleet_secret, settings.fleet_secret_file,
+            "/fleet_secret_file", found);
+        secrets.operator_credential = resolve_secret(
+            settings.operator_credential, settings.operator_credential_file,
+            "/operator_credential_file", found);
+    }
+    if (!found.empty())
+    {
+        std::cerr << to_string(found);
+        return exit_bad_settings;
+    }
+    if (arguments.count("check") > 0)
+    {
+        std::cout << "the settings are sound\n";
+        return exit_ok;
+    }
+    json_log log;
+    if (const auto status =
+            open_log(log, settings.name, settings.log.level, settings.log.file);
+        !status.ok())
+    {
+        std::cerr << status.message() << '\n';
+        return exit_failed;
+    }
+    const auto node = start_node(settings, secrets, log);
+    if (!node.ok())
+    {
+        std::cerr << node.status().message() << '\n';
+        return exit_failed;
+    }
+    print_ports(ports_of(**node));
+    return run_until_stopped(**node);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGTERM, on_signal);
+    std::signal(SIGINT, on_signal);
+    std::signal(SIGPIPE, SIG_IGN);
+    auto options = make_options();
+    try
+    {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0)
+        {
+            std::cout << options.help();
+            return exit_ok;
+        }
+        if (arguments.count("version") > 0)
+        {
+            std::cout << "cyclamen-node " CYCLAMEN_VERSION "\n";
+            return exit_ok;
+        }
+        if (arguments.count("settings") == 0)
+        {
+            std::cerr << "--settings FILE is needed\n";
+            return exit_bad_settings;
+        }
+        return run(arguments);
+    }
+    catch (const cxxopts::exceptions::exception& problem)
+    {
+        std::cerr << problem.what() << '\n';
+        return exit_bad_settings;
+    }
+}
