Find, watch and tell the members of the fleet

Cause: routing, rates and configuration need to know who is up, where each upstream is, and must go on knowing it through loss, pauses and partitions. Change: src/core/membership holds probes, indirect probes, suspicion with refutation, gossip with bounded retransmission and a byte budget, digests that repair what gossip missed, and joining by leased seeds and by addresses. Conclusion: drains known in 3 s and dead hosts gone in 10 s at 12 nodes under the virtual clock; the large sizes are to be measured.

--- /dev/null
+++ b/src/core/membership/digests.cpp
@@ -0,0 +1,110 @@
+#include "core/membership/digests.hpp"
+
+#include "core/membership/sending.hpp"
+
+namespace cyclamenhold
+{
+namespace
+{
+
+using wire::membership::message_body;
+
+// Records in one message of an exchange, some 30 KB.
+constexpr std::size_t records_a_message = 300;
+// By this the interval grows with each member, so that the cost of exchanges
+// stays bounded.
+constexpr duration interval_per_member = 4ms;
+// One exchange in so many is with another data centre.
+constexpr std::uint64_t far_exchange_share = 4;
+
+void send_records(
+    const membership_state& state, host_id to, std::vector<member_news> records,
+    time_point now, control_actions& actions)
+{
+    auto message = make_message(state, message_body::gossip, now);
+    message.news = std::move(records);
+    send_message(to, message, transport::stream, actions);
+}
+
+} // namespace
+
+void send_digest(
+    membership_state& state, host_id to, bool is_reply, time_point now,
+    control_actions& actions)
+{
+    auto message = make_message(state, message_body::digest, now);
+    const auto digest = digest_with_self(state);
+    message.buckets.assign(digest.begin(), digest.end());
+    message.is_reply = is_reply;
+    send_message(to, message, transport::datagram, actions);
+}
+
+void answer_digest(
+    membership_state& state, host_id from, const membership_message& message,
+    time_point now, control_actions& actions)
+{
+    const auto own = digest_with_self(state);
+    std::vector<member_news> records;
+    bool differs = false;
+    const auto add = [&](host_id host)
+    {
+        const auto bucket = digest_bucket_of(host);
+        if (own[bucket] == message.buckets[bucket] || host == from)
+        {
+            return;
+        }
+        records.push_back(*news_about(state, host));
+        if (records.size() == records_a_message)
+        {
+            send_records(state, from, std::move(records), now, actions);
+            records.clear();
+        }
+    };
+    for (std::size_t bucket = 0; bucket < digest_bucket_count; ++bucket)
+    {
+        differs = differs || own[bucket] != message.buckets[bucket];
+    }
+    if (!differs)
+    {
+        return;
+    }
+    add(state.settings.self);
+    for (const auto& item : state.members)
+    {
+        add(item.first);
+    }
+    if (!records.empty())
+    {
+        send_records(state, from, std::move(records), now, actions);
+    }
+    if (!message.is_reply)
+    {
+        send_digest(state, from, true, now, actions);
+    }
+}
+
+void advance_digests(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    if (now < state.timers.digest)
+    {
+        return;
+    }
+    const duration interval =
+        state.settings.digest_interval +
+        interval_per_member * static_cast<int>(state.members.size());
+    state.timers.digest =
+        now + interval / 2 +
+        from_seconds(to_seconds(interval) * random_fraction(random));
+    const bool far = state.targets.local.empty() ||
+                     random_below(random, far_exchange_share) == 0;
+    const host_id target = far ? pick_far_host(state, random)
+                               : pick_host(state.targets.local, random);
+    if (target != host_id::none)
+    {
+        send_digest(state, target, false, now, actions);
+    }
+}
+
+} // namespace cyclamenhold
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -7,8 +7,10 @@
 #include "core/routing/upstream.hpp"
 #include "ports/control_actions.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,11 +42,27 @@
     incarnation host_incarnation = 0;
     data_centre_id data_centre = data_centre_id::none;
     member_state state = member_state::alive;
-    // When anything was last heard from the host itself, on the local clock.
+    // Orders what is said about one incarnation; the member itself raises it
+    // to refute a suspicion.
+    std::uint32_t refutation = 0;
+    // When anything was last heard from the host itself, on the local clock;
+    // the zero point when never.
     time_point heard_at{};
+    // The configuration revision in force there when it was last heard.
+    std::uint64_t revision = 0;
+    // When the member came into its present state.
+    time_point changed_at{};
     upstream_record upstream;
 };
 
+// What is known of the link to another data centre, by this node or by any
+// that it hears from.
+struct data_centre_link
+{
+    time_point heard_at{};
+    bool reachable = true;
+};
+
 struct membership_settings
 {
     host_id self = host_id::none;
@@ -56,8 +74,103 @@
     duration probe_timeout = 200ms;
     duration suspicion_time = 3s;
     std::uint32_t indirect_probes = 3;
+    // Between two rounds that spread news; quiet without any.
+    duration gossip_interval = 150ms;
+    std::uint32_t gossip_fanout = 3;
+    // Between two probes of other data centres.
+    duration far_probe_interval = 1s;
+    // A data centre not heard from for so long gets no work.
+    duration data_centre_timeout = 8s;
+    // Between two comparisons with another member; grows with the fleet.
+    duration digest_interval = 10s;
+    // Between two probes of members that are held to be dead.
+    duration dead_probe_interval = 3s;
+    // How long dead and departed members are remembered.
+    duration tombstone_time = 10min;
+    // Bytes of news a second, on top of the probes.
+    double gossip_bytes_per_second = 3000.0;
+    // Members of each data centre that keep an entry in the platform.
+    std::uint32_t seed_count = 3;
+    duration seed_lease_time = 30s;
+};
+
+// The one probe under way.
+struct probe
+{
+    host_id target = host_id::none;
+    std::uint64_t sequence = 0;
+    time_point indirect_at{};
+    time_point fails_at{};
+    bool indirect_sent = false;
+};
+
+// A probe made for another member.
+struct relayed_probe
+{
+    host_id origin = host_id::none;
+    std::uint64_t origin_sequence = 0;
+    time_point expires_at{};
+};
+
+// A change that still has to be told to others.
+struct queued_news
+{
+    std::uint32_t transmissions = 0;
+    // The upstream is told as well as the member's state.
+    bool whole_record = false;
+};
+
+enum class seed_step : std::uint8_t
+{
+    idle,
+    listing,
+    granting,
+    writing,
+    renewing,
+    revoking
 };
 
+// This node's use of the platform: finding others, and being found.
+struct seed_state
+{
+    seed_step step = seed_step::idle;
+    std::uint64_t call_id = 0;
+    time_point next_list_at{};
+    time_point next_lease_at{};
+    std::uint64_t lease = 0;
+    // The lease's key has been written.
+    bool published = false;
+    // Lists answered so far, up to the number needed before publishing.
+    std::uint32_t lists_done = 0;
+    std::uint32_t failures = 0;
+    std::uint64_t entry_version = 0;
+    // When an address of the settings is tried next.
+    time_point next_address_at{};
+    time_point next_check_at{};
+};
+
+// Hosts that may be talked to, from the table of members.
+struct member_targets
+{
+    // Equal to membership_state::targets_version when up to date.
+    std::uint64_t version = 0;
+    std::vector<host_id> local;
+    std::map<data_centre_id, std::vector<host_id>> far;
+    std::vector<host_id> local_dead;
+};
+
+struct membership_timers
+{
+    time_point probe{};
+    time_point gossip{};
+    time_point far_probe{};
+    time_point digest{};
+    time_point dead_probe{};
+    time_point cleanup{};
+};
+
+constexpr std::size_t digest_bucket_count = 256;
+
 struct membership_state
 {
     membership_settings settings;
@@ -68,6 +181,31 @@
     // Grows whenever a member or its upstream changes.
     std::uint64_t version = 0;
     bool leaving = false;
+
+    // The configuration revision in force here; set by the owner, told with
+    // each message.
+    std::uint64_t own_revision = 0;
+    // The highest revision heard of, and a member that has it.
+    std::uint64_t highest_revision = 0;
+    host_id highest_revision_host = host_id::none;
+    // Other data centres.
+    std::map<data_centre_id, data_centre_link> data_centres;
+
+    // What follows is used by the membership code only.
+    std::uint32_t self_refutation = 0;
+    std::map<host_id, queued_news> news;
+    std::map<host_id, time_point> suspects;
+    std::array<std::uint32_t, digest_bucket_count> digest{};
+    std::uint64_t targets_version = 1;
+    member_targets targets;
+    std::vector<host_id> probe_order;
+    std::uint64_t next_sequence = 1;
+    std::optional<probe> active_probe;
+    std::map<std::uint64_t, relayed_probe> relays;
+    membership_timers timers;
+    seed_state seed;
+    time_point last_tick{};
+    double gossip_bytes = 0.0;
 };
 
 void membership_start(
@@ -97,8 +235,19 @@
     membership_state& state, time_point now, random_source& random,
     control_actions& actions);
 
-// All upstreams that may be tried, the local one included.
+// All upstreams that may be tried, the local one included. Those of members
+// that are suspected, dead or gone, and of data centres that are cut off, are
+// left out.
 [[nodiscard]] std::vector<upstream_location>
 membership_upstreams(const membership_state& state);
 
+// The `count` members of this node's data centre, itself included, that rank
+// first by rendezvous hashing under `salt`: those that do a job for all.
+[[nodiscard]] std::vector<host_id> chosen_members(
+    const membership_state& state, std::string_view salt, std::size_t count);
+
+// Whether this node is one of them.
+[[nodiscard]] bool is_chosen_member(
+    const membership_state& state, std::string_view salt, std::size_t count);
+
 } // namespace cyclamenhold
--- /dev/null
+++ b/src/core/membership/membership_wire.hpp
@@ -0,0 +1,56 @@
+// Membership messages as plain structs, and their FlatBuffers form.
+#pragma once
+
+#include "core/membership/member_table.hpp"
+#include "wire/generated/membership_generated.h"
+
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct member_news
+{
+    member_claim claim;
+    upstream_record upstream;
+    // Without it, only the claim is sent.
+    bool whole_record = false;
+};
+
+struct data_centre_age
+{
+    data_centre_id data_centre = data_centre_id::none;
+    std::uint32_t age_ms = 0;
+};
+
+struct membership_message
+{
+    wire::membership::message_body kind =
+        wire::membership::message_body::gossip;
+    member_claim sender;
+    std::uint64_t sender_upstream_version = 0;
+    std::uint64_t revision = 0;
+    std::vector<data_centre_age> contacts;
+    std::vector<member_news> news;
+    // Of ping, ping_request and ack.
+    std::uint64_t sequence = 0;
+    // Of ping_request.
+    host_id target = host_id::none;
+    // Of digest.
+    std::vector<std::uint32_t> buckets;
+    bool is_reply = false;
+};
+
+[[nodiscard]] std::vector<std::uint8_t>
+encode(const membership_message& message);
+
+// Nothing for bytes that are not a whole and sensible message.
+[[nodiscard]] std::optional<membership_message>
+decode_membership_message(std::span<const std::uint8_t> bytes);
+
+// The bytes that one piece of news adds to a message, at most.
+[[nodiscard]] std::size_t encoded_size(const member_news& news);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/membership/probing.cpp
@@ -0,0 +1,228 @@
+#include "core/membership/probing.hpp"
+
+#include "core/membership/sending.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+using wire::membership::message_body;
+
+// How long a relayed probe's answer is waited for.
+constexpr duration relay_time = 2s;
+
+void send_ping(
+    membership_state& state, host_id target, std::uint64_t sequence,
+    time_point now, control_actions& actions)
+{
+    auto message = make_message(state, message_body::ping, now);
+    message.sequence = sequence;
+    if (const auto found = state.members.find(target);
+        found != state.members.end())
+    {
+        add_doubt(found->second, message);
+    }
+    send_with_news(state, target, std::move(message), actions);
+}
+
+// The next member in a random order in which each comes once a turn.
+host_id next_target(membership_state& state, random_source& random)
+{
+    for (int turn = 0; turn < 2; ++turn)
+    {
+        while (!state.probe_order.empty())
+        {
+            const host_id host = state.probe_order.back();
+            state.probe_order.pop_back();
+            const auto found = state.members.find(host);
+            if (found != state.members.end() && is_present(found->second.state))
+            {
+                return host;
+            }
+        }
+        state.probe_order = state.targets.local;
+        std::shuffle(
+            state.probe_order.begin(), state.probe_order.end(), random);
+    }
+    return host_id::none;
+}
+
+void start_probe(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    const host_id target = next_target(state, random);
+    if (target == host_id::none)
+    {
+        return;
+    }
+    const std::uint64_t sequence = state.next_sequence++;
+    // Just before the next period begins.
+    const time_point fails_at = now + state.settings.probe_interval - 1ms;
+    state.active_probe = probe{
+        target, sequence, now + state.settings.probe_timeout, fails_at, false};
+    send_ping(state, target, sequence, now, actions);
+}
+
+void ask_helpers(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    probe& active = *state.active_probe;
+    active.indirect_sent = true;
+    std::vector<host_id> helpers;
+    const std::uint32_t wanted = state.settings.indirect_probes;
+    const std::uint32_t draws = 4 * wanted;
+    for (std::uint32_t draw = 0; draw < draws && helpers.size() < wanted;
+         ++draw)
+    {
+        // Where the data centre has too few members, others help.
+        const host_id helper = draw < 2 * wanted
+                                   ? pick_host(state.targets.local, random)
+                                   : pick_far_host(state, random);
+        if (helper != host_id::none && helper != active.target &&
+            std::ranges::find(helpers, helper) == helpers.end())
+        {
+            helpers.push_back(helper);
+        }
+    }
+    for (const host_id helper : helpers)
+    {
+        auto message = make_message(state, message_body::ping_request, now);
+        message.sequence = active.sequence;
+        message.target = active.target;
+        send_with_news(state, helper, std::move(message), actions);
+    }
+}
+
+void fail_probe(
+    membership_state& state, time_point now, control_actions& actions)
+{
+    const host_id target = state.active_probe->target;
+    state.active_probe.reset();
+    const auto found = state.members.find(target);
+    if (found == state.members.end() ||
+        found->second.state != member_state::alive)
+    {
+        return;
+    }
+    member_claim claim = claim_of(found->second);
+    claim.state = member_state::suspect;
+    merge_claim(state, claim, now, actions);
+}
+
+void advance_active_probe(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    if (!state.active_probe.has_value())
+    {
+        return;
+    }
+    if (now >= state.active_probe->fails_at)
+    {
+        fail_probe(state, now, actions);
+        return;
+    }
+    if (now >= state.active_probe->indirect_at &&
+        !state.active_probe->indirect_sent)
+    {
+        ask_helpers(state, now, random, actions);
+    }
+}
+
+} // namespace
+
+void advance_probes(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    advance_active_probe(state, now, random, actions);
+    refresh_targets(state);
+    if (now >= state.timers.probe)
+    {
+        state.timers.probe = now + state.settings.probe_interval;
+        start_probe(state, now, random, actions);
+    }
+    if (now >= state.timers.far_probe)
+    {
+        state.timers.far_probe = now + state.settings.far_probe_interval;
+        if (const host_id target = pick_far_host(state, random);
+            target != host_id::none)
+        {
+            send_ping(state, target, state.next_sequence++, now, actions);
+        }
+    }
+    if (now >= state.timers.dead_probe)
+    {
+        state.timers.dead_probe = now + state.settings.dead_probe_interval;
+        if (const host_id target = pick_host(state.targets.local_dead, random);
+            target != host_id::none)
+        {
+            send_ping(state, target, state.next_sequence++, now, actions);
+        }
+    }
+    std::erase_if(
+        state.relays,
+        [now](const auto& item)
+        {
+            return item.second.expires_at <= now;
+        });
+}
+
+time_point probes_due(const membership_state& state)
+{
+    time_point due = std::min(state.timers.probe, state.timers.far_probe);
+    if (state.active_probe.has_value())
+    {
+        const probe& active = *state.active_probe;
+        due = std::min(
+            due, active.indirect_sent ? active.fails_at : active.indirect_at);
+    }
+    return due;
+}
+
+void answer_ping(
+    membership_state& state, host_id from, std::uint64_t sequence,
+    time_point now, control_actions& actions)
+{
+    auto message = make_message(state, message_body::ack, now);
+    message.sequence = sequence;
+    send_with_news(state, from, std::move(message), actions);
+}
+
+void relay_ping(
+    membership_state& state, host_id origin, std::uint64_t sequence,
+    host_id target, time_point now, control_actions& actions)
+{
+    const std::uint64_t own_sequence = state.next_sequence++;
+    state.relays[own_sequence] = {origin, sequence, now + relay_time};
+    send_ping(state, target, own_sequence, now, actions);
+}
+
+void take_ack(
+    membership_state& state, std::uint64_t sequence, time_point now,
+    control_actions& actions)
+{
+    if (const auto relay = state.relays.find(sequence);
+        relay != state.relays.end())
+    {
+        auto message = make_message(state, message_body::ack, now);
+        message.sequence = relay->second.origin_sequence;
+        send_with_news(
+            state, relay->second.origin, std::move(message), actions);
+        state.relays.erase(relay);
+        return;
+    }
+    // A helper's answer carries the sequence of the probe as well.
+    if (state.active_probe.has_value() &&
+        state.active_probe->sequence == sequence)
+    {
+        state.active_probe.reset();
+    }
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/membership/seeds.cpp
@@ -0,0 +1,342 @@
+#include "core/membership/seeds.hpp"
+
+#include "core/membership/digests.hpp"
+#include "core/membership/member_table.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr std::string_view seed_prefix = "seed/";
+constexpr std::string_view seed_salt = "seed";
+constexpr std::uint32_t most_seeds_listed = 256;
+constexpr duration relist_interval = 30s;
+constexpr duration first_list_spread = 500ms;
+constexpr duration lonely_list_spread = 3s;
+constexpr duration settings_seed_interval = 1s;
+constexpr duration settings_seed_interval_joined = 30s;
+constexpr duration shortest_backoff = 1s;
+constexpr duration longest_backoff = 30s;
+// Lists that must have been read before a node that knows nobody publishes
+// itself; others that start at the same time are found by then.
+constexpr std::uint32_t lists_before_publishing = 2;
+
+// A random time in [span / 2, span * 3 / 2).
+duration jittered(duration span, random_source& random)
+{
+    return span / 2 + from_seconds(to_seconds(span) * random_fraction(random));
+}
+
+duration backoff(seed_state& seed, random_source& random)
+{
+    const std::uint32_t doublings = std::min(seed.failures, 5U);
+    ++seed.failures;
+    return jittered(
+        std::min(shortest_backoff * (1 << doublings), longest_backoff), random);
+}
+
+std::string seed_key(const membership_state& state)
+{
+    std::string key(seed_prefix);
+    key += state.settings.data_centre_name;
+    key += '/';
+    key += to_string(state.settings.self);
+    return key;
+}
+
+platform_call& add_call(
+    membership_state& state, platform_operation operation, seed_step step,
+    control_actions& actions)
+{
+    platform_call call;
+    call.client = platform_client::membership;
+    call.call_id = ++state.seed.call_id;
+    call.operation = operation;
+    state.seed.step = step;
+    actions.platform_calls.push_back(std::move(call));
+    return actions.platform_calls.back();
+}
+
+void list_seeds(membership_state& state, control_actions& actions)
+{
+    auto& call =
+        add_call(state, platform_operation::list, seed_step::listing, actions);
+    call.key = seed_prefix;
+    call.limit = most_seeds_listed;
+}
+
+void grant_lease(membership_state& state, control_actions& actions)
+{
+    auto& call = add_call(
+        state, platform_operation::lease_grant, seed_step::granting, actions);
+    call.lease_time = state.settings.seed_lease_time;
+}
+
+void write_entry(membership_state& state, control_actions& actions)
+{
+    auto& call = add_call(
+        state, platform_operation::compare_and_swap, seed_step::writing,
+        actions);
+    call.key = seed_key(state);
+    call.value = to_string(state.settings.self);
+    call.expected_version = state.seed.entry_version;
+    call.lease = state.seed.lease;
+}
+
+void renew_lease(membership_state& state, control_actions& actions)
+{
+    auto& call = add_call(
+        state, platform_operation::lease_renew, seed_step::renewing, actions);
+    call.lease = state.seed.lease;
+}
+
+void revoke_lease(membership_state& state, control_actions& actions)
+{
+    auto& call = add_call(
+        state, platform_operation::lease_revoke, seed_step::revoking, actions);
+    call.lease = state.seed.lease;
+    state.seed.published = false;
+    state.seed.lease = 0;
+    state.seed.entry_version = 0;
+}
+
+bool knows_anyone(const membership_state& state)
+{
+    return !state.targets.local.empty() || !state.targets.far.empty();
+}
+
+bool wants_entry(const membership_state& state)
+{
+    if (state.leaving || state.seed.lists_done == 0)
+    {
+        return false;
+    }
+    if (state.targets.local.empty() &&
+        state.seed.lists_done < lists_before_publishing)
+    {
+        return false;
+    }
+    return is_chosen_member(state, seed_salt, state.settings.seed_count);
+}
+
+bool wants_list(const membership_state& state)
+{
+    return !state.leaving &&
+           (!knows_anyone(state) ||
+            is_chosen_member(state, seed_salt, state.settings.seed_count));
+}
+
+void meet(
+    membership_state& state, host_id host, time_point now,
+    control_actions& actions)
+{
+    const auto found = state.members.find(host);
+    const bool is_known =
+        found != state.members.end() && is_present(found->second.state);
+    if (host != state.settings.self && !is_known)
+    {
+        send_digest(state, host, false, now, actions);
+    }
+}
+
+// Turns to one address of the settings now and then.
+void try_settings_seed(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    const auto& seeds = state.settings.seeds;
+    if (seeds.empty() || now < state.seed.next_address_at)
+    {
+        return;
+    }
+    const duration interval = knows_anyone(state)
+                                  ? settings_seed_interval_joined
+                                  : settings_seed_interval;
+    state.seed.next_address_at = now + jittered(interval, random);
+    meet(state, seeds[random_below(random, seeds.size())], now, actions);
+}
+
+void take_list(
+    membership_state& state, const platform_reply& reply, time_point now,
+    random_source& random, control_actions& actions)
+{
+    ++state.seed.lists_done;
+    for (const auto& entry : reply.entries)
+    {
+        if (const auto host = parse_host_id(entry.value); host.has_value())
+        {
+            meet(state, *host, now, actions);
+        }
+    }
+    const duration pause =
+        knows_anyone(state) ? relist_interval : lonely_list_spread;
+    state.seed.next_list_at = now + jittered(pause, random);
+}
+
+void take_granted(
+    membership_state& state, const platform_reply& reply,
+    control_actions& actions)
+{
+    state.seed.lease = reply.lease;
+    write_entry(state, actions);
+}
+
+void take_written(
+    membership_state& state, const platform_reply& reply, time_point now,
+    random_source& random)
+{
+    state.seed.published = true;
+    state.seed.entry_version =
+        reply.entries.empty() ? 0 : reply.entries.front().version;
+    state.seed.next_lease_at =
+        now + jittered(state.settings.seed_lease_time / 3, random);
+}
+
+// An entry under another lease: of an earlier life, or of a write whose answer
+// was lost.
+void take_conflict(
+    membership_state& state, const platform_reply& reply,
+    control_actions& actions)
+{
+    state.seed.entry_version =
+        reply.entries.empty() ? 0 : reply.entries.front().version;
+    write_entry(state, actions);
+}
+
+void take_failure(
+    membership_state& state, seed_step step, time_point now,
+    random_source& random)
+{
+    seed_state& seed = state.seed;
+    if (step != seed_step::listing && step != seed_step::renewing)
+    {
+        // The lease, if there is one, ends by itself.
+        seed.lease = 0;
+        seed.published = false;
+    }
+    const time_point again = now + backoff(seed, random);
+    seed.next_lease_at = std::max(seed.next_lease_at, again);
+    seed.next_list_at = std::max(seed.next_list_at, again);
+}
+
+void maintain_entry(
+    membership_state& state, time_point now, control_actions& actions)
+{
+    const bool wanted = wants_entry(state);
+    if (!wanted && state.seed.lease != 0)
+    {
+        revoke_lease(state, actions);
+        return;
+    }
+    if (!wanted || now < state.seed.next_lease_at)
+    {
+        return;
+    }
+    if (state.seed.published)
+    {
+        renew_lease(state, actions);
+        return;
+    }
+    grant_lease(state, actions);
+}
+
+} // namespace
+
+void start_seeds(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    state.seed = {};
+    state.seed.next_list_at =
+        now +
+        from_seconds(to_seconds(first_list_spread) * random_fraction(random));
+    state.seed.next_address_at = now;
+    try_settings_seed(state, now, random, actions);
+}
+
+void advance_seeds(
+    membership_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    try_settings_seed(state, now, random, actions);
+    if (state.seed.step != seed_step::idle || now < state.seed.next_check_at)
+    {
+        return;
+    }
+    // Choosing looks at all members, so it is not done on each tick.
+    state.seed.next_check_at = now + 500ms;
+    if (now >= state.seed.next_list_at && wants_list(state))
+    {
+        list_seeds(state, actions);
+        return;
+    }
+    maintain_entry(state, now, actions);
+}
+
+void take_seed_reply(
+    membership_state& state, const platform_reply& reply, time_point now,
+    random_source& random, control_actions& actions)
+{
+    seed_state& seed = state.seed;
+    if (reply.call_id != seed.call_id || seed.step == seed_step::idle)
+    {
+        return;
+    }
+    const seed_step step = seed.step;
+    seed.step = seed_step::idle;
+    if (step == seed_step::revoking)
+    {
+        return;
+    }
+    if (step == seed_step::writing && reply.status == platform_status::conflict)
+    {
+        take_conflict(state, reply, actions);
+        return;
+    }
+    if (reply.status == platform_status::lease_expired)
+    {
+        seed.lease = 0;
+        seed.published = false;
+        seed.entry_version = 0;
+        seed.next_lease_at = now;
+        return;
+    }
+    if (reply.status != platform_status::ok)
+    {
+        take_failure(state, step, now, random);
+        return;
+    }
+    seed.failures = 0;
+    switch (step)
+    {
+    case seed_step::listing:
+        take_list(state, reply, now, random, actions);
+        return;
+    case seed_step::granting:
+        take_granted(state, reply, actions);
+        return;
+    case seed_step::writing:
+        take_written(state, reply, now, random);
+        return;
+    case seed_step::renewing:
+        seed.next_lease_at =
+            now + jittered(state.settings.seed_lease_time / 3, random);
+        return;
+    case seed_step::idle:
+    case seed_step::revoking:
+        return;
+    }
+}
+
+void drop_seed(membership_state& state, control_actions& actions)
+{
+    if (state.seed.lease != 0)
+    {
+        revoke_lease(state, actions);
+    }
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/core/membership_test.cpp
@@ -0,0 +1,324 @@
+#include "core/membership/membership.hpp"
+
+#include "support/fake_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+const std::vector<std::string> three_data_centres{"brno", "olomouc", "zlin"};
+
+upstream_record serving(const std::string& service)
+{
+    return {service, upstream_state::serving, 150, 1000, 0};
+}
+
+bool offers(
+    const fake_fleet& fleet, std::size_t viewer, std::size_t subject,
+    upstream_state wanted)
+{
+    for (const auto& location :
+         membership_upstreams(*fleet.nodes[viewer].membership))
+    {
+        if (location.host == fleet.nodes[subject].host)
+        {
+            return location.record.state == wanted;
+        }
+    }
+    return wanted == upstream_state::absent;
+}
+
+bool all_offer(
+    const fake_fleet& fleet, std::size_t subject, upstream_state wanted)
+{
+    for (std::size_t viewer = 0; viewer < fleet.nodes.size(); ++viewer)
+    {
+        if (viewer != subject && fleet.nodes[viewer].running &&
+            !offers(fleet, viewer, subject, wanted))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+TEST(membership, a_fleet_finds_itself)
+{
+    fake_fleet fleet(1);
+    {
+        SCOPED_TRACE("through entries in the platform");
+        add_nodes(fleet, three_data_centres, 12);
+        EXPECT_TRUE(run_until_true(
+            fleet, 20s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+    }
+    {
+        SCOPED_TRACE("a few members of each data centre keep an entry");
+        run_for(fleet, 60s);
+        EXPECT_EQ(fleet.platform.values.size(), 9U);
+    }
+    {
+        SCOPED_TRACE("a newcomer finds them by an address of its settings");
+        fleet.platform.faults.down = true;
+        const auto added = add_node(fleet, "brno");
+        fleet.nodes[added].settings.seeds = {fleet.nodes[1].host};
+        start_node(fleet, added);
+        EXPECT_TRUE(run_until_true(
+            fleet, 5s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+    }
+    {
+        SCOPED_TRACE("and the platform's absence changes nothing");
+        run_for(fleet, 120s);
+        EXPECT_TRUE(is_converged(fleet));
+    }
+}
+
+TEST(membership, upstreams_come_and_go)
+{
+    fake_fleet fleet(2);
+    add_nodes(fleet, three_data_centres, 12);
+    ASSERT_TRUE(run_until_true(
+        fleet, 20s,
+        [&]
+        {
+            return is_converged(fleet);
+        }));
+    {
+        SCOPED_TRACE("an announcement reaches all");
+        announce(fleet, 0, serving("booking"));
+        EXPECT_TRUE(run_until_true(
+            fleet, 2s,
+            [&]
+            {
+                return all_offer(fleet, 0, upstream_state::serving);
+            }));
+    }
+    {
+        SCOPED_TRACE("a drain is known everywhere within 3 s at 5% loss");
+        fleet.faults.loss = 0.05;
+        auto record = serving("booking");
+        record.state = upstream_state::draining;
+        announce(fleet, 0, record);
+        EXPECT_TRUE(run_until_true(
+            fleet, 3s,
+            [&]
+            {
+                return all_offer(fleet, 0, upstream_state::draining);
+            }));
+    }
+    {
+        SCOPED_TRACE("so is its host's leave");
+        act(fleet, 0,
+            [](fleet_node& node, time_point now, random_source& random,
+               control_actions& actions)
+            {
+                membership_leave(*node.membership, now, random, actions);
+            });
+        EXPECT_TRUE(run_until_true(
+            fleet, 3s,
+            [&]
+            {
+                return all_offer(fleet, 0, upstream_state::absent);
+            }));
+        EXPECT_EQ(state_of(fleet, 1, 0), member_state::left);
+    }
+}
+
+TEST(membership, hosts_fail_and_are_replaced)
+{
+    fake_fleet fleet(3);
+    add_nodes(fleet, three_data_centres, 12);
+    for (std::size_t place = 0; place < 12; ++place)
+    {
+        announce(fleet, place, serving("booking"));
+    }
+    ASSERT_TRUE(run_until_true(
+        fleet, 20s,
+        [&]
+        {
+            return is_converged(fleet);
+        }));
+    {
+        SCOPED_TRACE("a dead host is removed everywhere within 10 s");
+        kill_node(fleet, 4);
+        EXPECT_TRUE(run_until_true(
+            fleet, 10s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+    }
+    {
+        SCOPED_TRACE("a replacement at its address is a new incarnation");
+        start_node(fleet, 4);
+        EXPECT_TRUE(run_until_true(
+            fleet, 10s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+    }
+    {
+        SCOPED_TRACE("also when its wall clock is behind");
+        kill_node(fleet, 4);
+        fleet.wall_clock_ms -= 1'000'000;
+        start_node(fleet, 4);
+        EXPECT_TRUE(run_until_true(
+            fleet, 20s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+    }
+    {
+        SCOPED_TRACE("a paused host is removed and comes back");
+        fleet.nodes[5].paused_until = fleet.now + 30s;
+        EXPECT_TRUE(run_until_true(
+            fleet, 10s,
+            [&]
+            {
+                return all_offer(fleet, 5, upstream_state::absent);
+            }));
+        run_for(fleet, 20s);
+        EXPECT_TRUE(run_until_true(
+            fleet, 20s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+        SCOPED_TRACE("and takes nobody else for dead");
+        for (const auto& happened : fleet.nodes[5].events)
+        {
+            EXPECT_FALSE(
+                happened.kind == event_kind::member_removed &&
+                happened.peer != fleet.nodes[4].host);
+        }
+    }
+}
+
+TEST(membership, data_centres_are_cut_off)
+{
+    fake_fleet fleet(4);
+    add_nodes(fleet, three_data_centres, 12);
+    for (std::size_t place = 0; place < 12; ++place)
+    {
+        announce(fleet, place, serving("booking"));
+    }
+    ASSERT_TRUE(run_until_true(
+        fleet, 20s,
+        [&]
+        {
+            return is_converged(fleet);
+        }));
+    fleet.may_pass = [](const fleet_node& from, const fleet_node& to)
+    {
+        return (from.data_centre_name == "brno") ==
+               (to.data_centre_name == "brno");
+    };
+    {
+        SCOPED_TRACE("its upstreams get no work from outside after 10 s");
+        EXPECT_TRUE(run_until_true(
+            fleet, 10s,
+            [&]
+            {
+                return offers(fleet, 1, 0, upstream_state::absent) &&
+                       offers(fleet, 0, 1, upstream_state::absent);
+            }));
+        EXPECT_TRUE(offers(fleet, 0, 3, upstream_state::serving));
+    }
+    {
+        SCOPED_TRACE("none of its hosts is held for dead");
+        run_for(fleet, 120s);
+        EXPECT_EQ(state_of(fleet, 1, 0), member_state::alive);
+        EXPECT_EQ(state_of(fleet, 0, 1), member_state::alive);
+    }
+    {
+        SCOPED_TRACE("what changed meanwhile is known soon after it ends");
+        kill_node(fleet, 3);
+        announce(fleet, 1, {"renewal", upstream_state::serving, 15, 200, 0});
+        run_for(fleet, 30s);
+        fleet.may_pass = {};
+        EXPECT_TRUE(run_until_true(
+            fleet, 60s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+        EXPECT_TRUE(offers(fleet, 2, 0, upstream_state::serving));
+    }
+}
+
+TEST(membership, partitions_inside_a_data_centre_heal)
+{
+    fake_fleet fleet(5);
+    add_nodes(fleet, {"brno"}, 6);
+    ASSERT_TRUE(run_until_true(
+        fleet, 20s,
+        [&]
+        {
+            return is_converged(fleet);
+        }));
+    {
+        SCOPED_TRACE("one lost direction between two hosts harms nobody");
+        const host_id from = fleet.nodes[0].host;
+        const host_id to = fleet.nodes[1].host;
+        fleet.may_pass = [=](const fleet_node& left, const fleet_node& right)
+        {
+            return left.host != from || right.host != to;
+        };
+        run_for(fleet, 120s);
+        EXPECT_TRUE(is_converged(fleet));
+    }
+    {
+        SCOPED_TRACE("two halves lose each other and meet again");
+        fleet.may_pass = [&](const fleet_node& left, const fleet_node& right)
+        {
+            return (fleet.index.at(left.host) < 3) ==
+                   (fleet.index.at(right.host) < 3);
+        };
+        run_for(fleet, 60s);
+        EXPECT_EQ(state_of(fleet, 0, 5), member_state::dead);
+        fleet.may_pass = {};
+        EXPECT_TRUE(run_until_true(
+            fleet, 60s,
+            [&]
+            {
+                return is_converged(fleet);
+            }));
+    }
+}
+
+TEST(membership, bad_messages_are_reported_and_ignored)
+{
+    membership_state state;
+    random_source random(1);
+    control_actions actions;
+    membership_settings settings;
+    settings.self = make_host_id(1, 1);
+    membership_start(state, settings, 5, time_point{1s}, random, actions);
+    const std::vector<std::uint8_t> bytes(40, 0xff);
+    membership_on_message(
+        state,
+        {make_host_id(2, 2), message_kind::membership,
+         std::span(bytes).first(7)},
+        time_point{1s}, random, actions);
+    membership_on_message(
+        state, {make_host_id(2, 2), message_kind::membership, bytes},
+        time_point{1s}, random, actions);
+    ASSERT_EQ(actions.events.size(), 2U);
+    EXPECT_EQ(actions.events.front().kind, event_kind::bad_input);
+    EXPECT_TRUE(state.members.empty());
+}
+
+} // namespace
+} // namespace cyclamenhold
