Add the stand-in upstream

Cause: nodes and experiments need upstreams with slots, cold starts and faults that can be switched while they run. Change: an HTTP/1.1 server with slots, a queue, service times from a seed, child calls, a log of what ran and a control port; it announces, drains and leaves at its own node. The semaphore's waiter gets a constructor, which clang needs. Conclusion: builds with no warning; not yet run against a node.

--- a/src/adapters/async_semaphore.cpp
+++ b/src/adapters/async_semaphore.cpp
@@ -16,8 +16,7 @@
         co_return true;
     }
     auto executor = co_await asio::this_coro::executor;
-    auto waiter = std::make_shared<semaphore_waiter>(
-        asio::steady_timer(executor, deadline));
+    auto waiter = std::make_shared<semaphore_waiter>(executor, deadline);
     semaphore.waiters.push_back(waiter);
     co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (waiter->granted)
--- a/src/adapters/async_semaphore.hpp
+++ b/src/adapters/async_semaphore.hpp
@@ -16,6 +16,11 @@
 
 struct semaphore_waiter
 {
+    semaphore_waiter(
+        const boost::asio::any_io_executor& executor, time_point deadline)
+        : timer(executor, deadline)
+    {
+    }
     boost::asio::steady_timer timer;
     bool granted = false;
 };
--- /dev/null
+++ b/tools/cyclamen-standin-upstream/upstream_settings.hpp
@@ -0,0 +1,104 @@
+// What one stand-in upstream is told on its command line.
+#pragma once
+
+#include "core/base/findings.hpp"
+#include "core/base/names.hpp"
+#include "core/base/time.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+enum class time_distribution : std::uint8_t
+{
+    fixed,
+    exponential,
+    lognormal
+};
+
+template <>
+struct enum_names<time_distribution>
+{
+    static constexpr std::array<
+        std::pair<time_distribution, std::string_view>, 3>
+        table{
+            {{time_distribution::fixed, "fixed"},
+             {time_distribution::exponential, "exponential"},
+             {time_distribution::lognormal, "lognormal"}}};
+};
+
+// What a poisoned request does to the process.
+enum class crash_kind : std::uint8_t
+{
+    // Exits at once with a failure.
+    exit,
+    // Closes all connections and refuses new ones for a while.
+    close
+};
+
+template <>
+struct enum_names<crash_kind>
+{
+    static constexpr std::array<std::pair<crash_kind, std::string_view>, 2>
+        table{{{crash_kind::exit, "exit"}, {crash_kind::close, "close"}}};
+};
+
+// Upstreams of one path prefix that are called without a node in between, for
+// comparison runs.
+struct direct_service
+{
+    std::string path_prefix;
+    std::vector<boost::asio::ip::tcp::endpoint> endpoints;
+};
+
+struct upstream_settings
+{
+    std::string service = "service";
+    boost::asio::ip::tcp::endpoint listen;
+    boost::asio::ip::tcp::endpoint control;
+    // The loopback port of the upstream's own node.
+    std::optional<boost::asio::ip::tcp::endpoint> node;
+    std::size_t slots = 100;
+    std::size_t connections = 1'000;
+    // Requests that wait for a slot; more are shed with 503.
+    std::size_t queue = 100;
+    duration service_time = 20ms;
+    time_distribution distribution = time_distribution::lognormal;
+    // Shape of the lognormal distribution.
+    double sigma = 0.5;
+    // Service times start this much longer and fall to normal in `warm_up`.
+    double cold_factor = 1.0;
+    duration warm_up{};
+    std::uint64_t seed = 1;
+    // Paths called for each request that does not name its own.
+    std::vector<std::string> calls;
+    std::vector<direct_service> direct;
+    // Times that a failed child call without a node is sent again.
+    std::uint32_t child_retries = 0;
+    duration child_timeout = 2s;
+    crash_kind crash = crash_kind::exit;
+    duration refuse_time = 1s;
+    // The longest a graceful stop may take.
+    duration stop_time = 5s;
+    // Entries kept in the log of what ran, and bytes of received headers.
+    std::size_t ran_entries = 100'000;
+    std::size_t received_bytes = 1'000'000;
+};
+
+// Parses "/payments=127.0.0.1:1,127.0.0.1:2;/stock=127.0.0.1:3".
+[[nodiscard]] std::vector<direct_service>
+parse_direct_services(std::string_view text, findings& found);
+
+// The parts of a text between separators; none for an empty text.
+[[nodiscard]] std::vector<std::string>
+split(std::string_view text, char separator);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tools/cyclamen-standin-upstream/work.cpp
@@ -0,0 +1,271 @@
+#include "work.hpp"
+
+#include "adapters/clock.hpp"
+#include "child_calls.hpp"
+#include "crash.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace cyclamenhold
+{
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+std::optional<std::uint64_t> parse_size(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [position, error] = std::from_chars(text.data(), end, value);
+    if (text.empty() || error != std::errc() || position != end)
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+// Without the header there is no deadline.
+time_point deadline_of(const received_request& request)
+{
+    const auto remaining =
+        parse_size(header_value(request.headers, "Cyclamen-Deadline-Ms"));
+    constexpr std::uint64_t longest_ms = 24ULL * 3600 * 1000;
+    if (!remaining)
+    {
+        return now() + std::chrono::milliseconds(longest_ms);
+    }
+    return now() + std::chrono::milliseconds(std::min(*remaining, longest_ms));
+}
+
+std::string marker_of(const received_request& request)
+{
+    std::string marker = query_value(request.query, "marker");
+    if (marker.empty())
+    {
+        marker = header_value(request.headers, "X-Request-Marker");
+    }
+    return marker;
+}
+
+bool is_poisoned(const received_request& request)
+{
+    return !header_value(request.headers, "X-Poison").empty() ||
+           request.body_start.find(poison_marker) != std::string::npos;
+}
+
+reply_plan plain_reply(unsigned status, std::string text)
+{
+    reply_plan plan;
+    plan.status = status;
+    plan.body = std::move(text);
+    return plan;
+}
+
+reply_plan shed(upstream_state& upstream)
+{
+    ++upstream.counts.shed;
+    return plain_reply(503, "shed\n");
+}
+
+// The newest sample that is old enough for the lag in force.
+load_sample lagged_sample(upstream_state& upstream)
+{
+    const time_point at = now();
+    load_sample chosen{at, in_flight(upstream), upstream.slots.waiters.size()};
+    if (upstream.faults.lag == duration::zero())
+    {
+        return chosen;
+    }
+    for (const load_sample& sample : upstream.samples)
+    {
+        if (sample.at <= at - upstream.faults.lag)
+        {
+            chosen = sample;
+        }
+    }
+    return chosen;
+}
+
+reply_plan show_health(upstream_state& upstream)
+{
+    const load_sample sample = lagged_sample(upstream);
+    const bool healthy = sample.in_flight < upstream.settings.slots;
+    const bool said = healthy != upstream.faults.lie;
+    return plain_reply(said ? 200 : 503, said ? "ok\n" : "overloaded\n");
+}
+
+reply_plan show_load(upstream_state& upstream)
+{
+    const load_sample sample = lagged_sample(upstream);
+    const std::size_t slots = upstream.settings.slots;
+    json::object object;
+    object["slots"] = slots;
+    object["in_flight"] =
+        upstream.faults.lie ? slots - sample.in_flight : sample.in_flight;
+    object["queued"] = upstream.faults.lie ? 0 : sample.queued;
+    return plain_reply(200, json::serialize(object));
+}
+
+// Marks a request that is destroyed while it runs as aborted.
+class ran_entry
+{
+public:
+    ran_entry(upstream_state& upstream, std::shared_ptr<ran_request> entry)
+        : upstream_(&upstream), entry_(std::move(entry))
+    {
+    }
+    ~ran_entry()
+    {
+        if (!ended_)
+        {
+            end_ran(*upstream_, *entry_, true);
+        }
+    }
+    ran_entry(const ran_entry&) = delete;
+    ran_entry& operator=(const ran_entry&) = delete;
+    void finish()
+    {
+        ended_ = true;
+        end_ran(*upstream_, *entry_, false);
+    }
+
+private:
+    upstream_state* upstream_;
+    std::shared_ptr<ran_request> entry_;
+    bool ended_ = false;
+};
+
+reply_plan make_reply(const received_request& request)
+{
+    reply_plan plan;
+    plan.headers.push_back(
+        {"Cyclamen-Request-Checksum", checksum_text(request.body_hash)});
+    plan.headers.push_back(
+        {"Cyclamen-Request-Bytes", std::to_string(request.body_bytes)});
+    const auto wanted = parse_size(query_value(request.query, "reply_bytes"));
+    if (wanted)
+    {
+        plan.pattern_bytes = std::min(*wanted, largest_reply);
+        return plan;
+    }
+    if (request.body_bytes <= kept_body_size)
+    {
+        plan.body = request.body_start;
+    }
+    return plan;
+}
+
+// Works for the service time, or until the deadline; false then.
+asio::awaitable<bool> work(upstream_state& upstream, time_point deadline)
+{
+    const time_point start = now();
+    const time_point done = start + draw_service_time(upstream, start);
+    if (done > start)
+    {
+        asio::steady_timer timer(upstream.context, std::min(done, deadline));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return done <= deadline;
+}
+
+asio::awaitable<reply_plan> run_in_slot(
+    upstream_state& upstream, const received_request& request,
+    time_point deadline)
+{
+    ran_entry entry(
+        upstream,
+        begin_ran(
+            upstream, marker_of(request), request.path, request.body_bytes));
+    if (is_poisoned(request))
+    {
+        crash(upstream);
+        reply_plan plan;
+        plan.drop = true;
+        co_return plan;
+    }
+    if (!co_await work(upstream, deadline))
+    {
+        co_return plain_reply(504, "deadline exceeded\n");
+    }
+    const child_outcome children =
+        co_await make_child_calls(upstream, request, deadline);
+    if (children.failed_status != 0)
+    {
+        reply_plan plan =
+            plain_reply(children.failed_status, "a child call failed\n");
+        plan.headers = children.headers;
+        entry.finish();
+        co_return plan;
+    }
+    entry.finish();
+    co_return make_reply(request);
+}
+
+} // namespace
+
+asio::awaitable<reply_plan>
+run_request(upstream_state& upstream, const received_request& request)
+{
+    if (request.path == "/health")
+    {
+        co_return show_health(upstream);
+    }
+    if (request.path == "/load")
+    {
+        co_return show_load(upstream);
+    }
+    ++upstream.counts.received;
+    upstream.last_request_at = now();
+    const bool queue_full =
+        upstream.slots.available == 0 &&
+        upstream.slots.waiters.size() >= upstream.settings.queue;
+    if (queue_full ||
+        (upstream.faults.shed_share > 0.0 &&
+         random_fraction(upstream.random) < upstream.faults.shed_share))
+    {
+        co_return shed(upstream);
+    }
+    const time_point deadline = deadline_of(request);
+    if (!co_await acquire(upstream.slots, deadline))
+    {
+        ++upstream.counts.expired;
+        co_return plain_reply(504, "deadline exceeded in the queue\n");
+    }
+    const semaphore_permit permit(upstream.slots);
+    co_return co_await run_in_slot(upstream, request, deadline);
+}
+
+std::string query_value(std::string_view query, std::string_view name)
+{
+    for (const std::string& part : split(query, '&'))
+    {
+        const auto equals = part.find('=');
+        if (equals != std::string::npos && part.substr(0, equals) == name)
+        {
+            return part.substr(equals + 1);
+        }
+    }
+    return {};
+}
+
+std::string checksum_text(std::uint64_t hash)
+{
+    std::array<char, 17> text{};
+    std::snprintf(
+        text.data(), text.size(), "%016llx",
+        static_cast<unsigned long long>(hash));
+    return text.data();
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tools/cyclamen-standin-upstream/work.hpp
@@ -0,0 +1,59 @@
+// What a stand-in upstream does with one request: waits for a slot, works for
+// its service time, makes its child calls, and decides on the reply.
+#pragma once
+
+#include "upstream_state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct received_request
+{
+    std::string method;
+    std::string path;
+    // Without the question mark.
+    std::string query;
+    std::vector<http_header> headers;
+    // The first bytes of the body.
+    std::string body_start;
+    std::uint64_t body_bytes = 0;
+    // XXH3 of the whole body.
+    std::uint64_t body_hash = 0;
+};
+
+// Bodies up to this size are kept whole and echoed.
+constexpr std::size_t kept_body_size = 64 * 1024;
+constexpr std::uint64_t largest_reply = 64ULL * 1024 * 1024;
+// A request whose body holds this, or whose headers have X-Poison, crashes the
+// upstream that runs it.
+constexpr std::string_view poison_marker = "cyclamen-poison";
+
+struct reply_plan
+{
+    unsigned status = 200;
+    std::vector<http_header> headers;
+    std::string body;
+    // Set where the body is so many bytes of a fixed pattern instead.
+    std::optional<std::uint64_t> pattern_bytes;
+    // Close the connection without an answer.
+    bool drop = false;
+};
+
+[[nodiscard]] boost::asio::awaitable<reply_plan>
+run_request(upstream_state& upstream, const received_request& request);
+
+// The value of one parameter of a query string, or "".
+[[nodiscard]] std::string
+query_value(std::string_view query, std::string_view name);
+
+// 16 hexadecimal digits.
+[[nodiscard]] std::string checksum_text(std::uint64_t hash);
+
+} // namespace cyclamenhold
