Add the gate's limit, fair queue and levels, routing and conserved retries

Cause: the gate, routing and retries were minimal implementations. Change: adaptive concurrency limit, class and max-min fair queue, admission levels; routing with ejection, probation and spill; allowance_pool and a retry budget; route levels at the entry node. New API: call_request.parent_record (call_record, made by the upstream's node for each started request), call_record.allowance.close() gives returned_allowance, load_report.downstream (= call_record.downstream.read()) must ride on replies beside level, gate_request.suspect, gate_running_digests. gate_state.limit is now a struct; gate_report(gate, now).limit is the number.

--- /dev/null
+++ b/src/core/gate/admission_position.hpp
@@ -0,0 +1,44 @@
+// Every (class, slot) in one order, the most important first, so that a level
+// is a single number: how many positions are open.
+#pragma once
+
+#include "core/base/request_context.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace cyclamenhold
+{
+
+constexpr std::uint32_t admission_position_count =
+    priority_class_count * admission_slot_count;
+
+[[nodiscard]] constexpr std::uint32_t
+admission_position(priority_class priority, std::uint16_t slot)
+{
+    return static_cast<std::uint32_t>(priority) * admission_slot_count +
+           std::min<std::uint32_t>(slot, admission_slot_count - 1);
+}
+
+// The number of positions that a level accepts.
+[[nodiscard]] constexpr std::uint32_t
+open_positions(const admission_level& level)
+{
+    return static_cast<std::uint32_t>(level.lowest_class) *
+               admission_slot_count +
+           std::min<std::uint32_t>(level.slots, admission_slot_count);
+}
+
+// The level that accepts so many positions.
+[[nodiscard]] constexpr admission_level level_at(std::uint32_t positions)
+{
+    if (positions >= admission_position_count)
+    {
+        return {};
+    }
+    return {
+        static_cast<priority_class>(positions / admission_slot_count),
+        static_cast<std::uint16_t>(positions % admission_slot_count)};
+}
+
+} // namespace cyclamenhold
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -1,34 +1,144 @@
 #include "core/gate/gate.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhold
 {
 namespace
 {
 
+// Waiting requests for each request that may run.
+constexpr std::size_t queue_factor = 2;
+constexpr std::size_t min_queue_size = 32;
+constexpr std::size_t max_waiting_suspects = 64;
+
 bool accepts(const gate_state& gate)
 {
     return gate.upstream.state == upstream_state::serving ||
            gate.upstream.state == upstream_state::warming;
 }
 
+std::size_t queue_bound(const gate_state& gate, time_point now)
+{
+    return std::max(
+        min_queue_size, queue_factor * current_limit(gate.limit, now));
+}
+
+bool has_room(const gate_state& gate, time_point now)
+{
+    return gate.running.size() < current_limit(gate.limit, now);
+}
+
+void refuse_all(
+    gate_verdicts& verdicts, const std::vector<gate_request>& requests,
+    refusal reason)
+{
+    for (const auto& request : requests)
+    {
+        verdicts.push_back({request.ticket, reason});
+    }
+}
+
+void start(
+    gate_state& gate, const gate_request& request, time_point now,
+    gate_verdicts& verdicts)
+{
+    const auto running = static_cast<std::uint32_t>(gate.running.size() + 1);
+    gate.running.emplace(
+        request.ticket, gate_running{
+                            limit_note_start(gate.limit, running, now),
+                            request.context.digest, request.suspect});
+    gate.suspect_running = gate.suspect_running || request.suspect;
+    admission_note_start(gate.admission, now - request.arrived);
+    verdicts.push_back({request.ticket, refusal::none});
+}
+
+// A request that cannot end within its deadline would waste its slot.
+bool is_doomed(
+    const gate_state& gate, const gate_request& request, time_point now)
+{
+    return request.context.deadline - now <= gate.limit.mean_latency / 2;
+}
+
+void start_suspect(gate_state& gate, time_point now, gate_verdicts& verdicts)
+{
+    if (gate.suspects.empty() || gate.suspect_running || !has_room(gate, now))
+    {
+        return;
+    }
+    const gate_request request = std::move(gate.suspects.front());
+    gate.suspects.pop_front();
+    queue_note_served(gate.queue, request.context, now);
+    start(gate, request, now, verdicts);
+}
+
 void start_queued(gate_state& gate, time_point now, gate_verdicts& verdicts)
 {
-    while (!gate.queue.empty() && gate.running.size() < gate.limit)
+    refuse_all(
+        verdicts, queue_take_expired(gate.queue, now),
+        refusal::deadline_exceeded);
+    start_suspect(gate, now, verdicts);
+    const queue_order order = gate.admission.overloaded
+                                  ? queue_order::newest_first
+                                  : queue_order::oldest_first;
+    while (queue_size(gate.queue) > 0 && has_room(gate, now))
     {
-        const gate_request request = std::move(gate.queue.front());
-        gate.queue.pop_front();
-        if (request.context.deadline <= now)
+        const gate_request request = *queue_pop(gate.queue, order, now);
+        if (is_doomed(gate, request, now))
         {
+            admission_note_refusal(gate.admission);
             verdicts.push_back({request.ticket, refusal::deadline_exceeded});
             continue;
         }
-        gate.running.emplace(request.ticket, now);
-        verdicts.push_back({request.ticket, refusal::none});
+        start(gate, request, now, verdicts);
     }
 }
 
+void drop_expired_suspects(
+    gate_state& gate, time_point now, gate_verdicts& verdicts)
+{
+    std::erase_if(
+        gate.suspects,
+        [&](const gate_request& request)
+        {
+            if (request.context.deadline > now)
+            {
+                return false;
+            }
+            verdicts.push_back({request.ticket, refusal::deadline_exceeded});
+            return true;
+        });
+}
+
+void enqueue(
+    gate_state& gate, gate_request request, time_point now,
+    gate_verdicts& verdicts)
+{
+    if (request.suspect)
+    {
+        if (gate.suspects.size() >= max_waiting_suspects)
+        {
+            verdicts.push_back({request.ticket, refusal::overloaded});
+            return;
+        }
+        gate.suspects.push_back(std::move(request));
+        return;
+    }
+    if (queue_size(gate.queue) >= queue_bound(gate, now))
+    {
+        admission_note_refusal(gate.admission);
+        const auto displaced = queue_displace(gate.queue, request);
+        if (!displaced)
+        {
+            verdicts.push_back({request.ticket, refusal::overloaded});
+            return;
+        }
+        verdicts.push_back({displaced->ticket, refusal::overloaded});
+    }
+    queue_push(gate.queue, std::move(request));
+}
+
 } // namespace
 
 gate_verdicts gate_set_upstream(
@@ -36,14 +146,18 @@
 {
     gate_verdicts verdicts;
     gate.upstream = record;
-    gate.limit = std::min(record.slots, record.connections);
+    limit_announce(
+        gate.limit, record.slots, record.connections,
+        record.state == upstream_state::warming, now);
     if (!accepts(gate))
     {
-        for (const auto& request : gate.queue)
+        refuse_all(verdicts, queue_take_all(gate.queue), refusal::draining);
+        for (const auto& request : gate.suspects)
         {
             verdicts.push_back({request.ticket, refusal::draining});
         }
-        gate.queue.clear();
+        gate.suspects.clear();
+        return verdicts;
     }
     start_queued(gate, now, verdicts);
     return verdicts;
@@ -55,52 +169,103 @@
     {
         return {{request.ticket, refusal::draining}};
     }
-    if (gate.queue.size() >= gate.limit)
+    if (request.context.deadline <= now)
     {
-        return {{request.ticket, refusal::overloaded}};
+        return {{request.ticket, refusal::deadline_exceeded}};
     }
     gate_verdicts verdicts;
-    gate.queue.push_back(std::move(request));
+    request.arrived = now;
+    admission_note_offer(gate.admission, request.context);
+    enqueue(gate, std::move(request), now, verdicts);
     start_queued(gate, now, verdicts);
     return verdicts;
 }
 
 gate_verdicts gate_finish(
-    gate_state& gate, gate_ticket ticket, gate_result /*result*/,
-    time_point now)
+    gate_state& gate, gate_ticket ticket, gate_result result, time_point now)
 {
     gate_verdicts verdicts;
-    gate.running.erase(ticket);
-    start_queued(gate, now, verdicts);
+    const auto found = gate.running.find(ticket);
+    if (found == gate.running.end())
+    {
+        return verdicts;
+    }
+    const gate_running ended = found->second;
+    const auto running = static_cast<std::uint32_t>(gate.running.size());
+    gate.running.erase(found);
+    if (ended.suspect)
+    {
+        gate.suspect_running = false;
+    }
+    if (result == gate_result::shed)
+    {
+        admission_note_refusal(gate.admission);
+        limit_note_shed(gate.limit, running, now);
+    }
+    else if (result != gate_result::cancelled)
+    {
+        limit_note_end(gate.limit, ended.sample, now);
+    }
+    if (accepts(gate))
+    {
+        start_queued(gate, now, verdicts);
+    }
     return verdicts;
 }
 
-gate_verdicts
-gate_cancel(gate_state& gate, gate_ticket ticket, time_point /*now*/)
+gate_verdicts gate_cancel(gate_state& gate, gate_ticket ticket, time_point now)
 {
-    std::erase_if(
-        gate.queue,
-        [ticket](const gate_request& request)
-        {
-            return request.ticket == ticket;
-        });
-    return {};
+    gate_verdicts verdicts;
+    if (!queue_remove(gate.queue, ticket))
+    {
+        std::erase_if(
+            gate.suspects,
+            [ticket](const gate_request& request)
+            {
+                return request.ticket == ticket;
+            });
+    }
+    if (accepts(gate))
+    {
+        start_queued(gate, now, verdicts);
+    }
+    return verdicts;
 }
 
 gate_verdicts gate_tick(gate_state& gate, time_point now)
 {
     gate_verdicts verdicts;
-    start_queued(gate, now, verdicts);
+    limit_tick(gate.limit, now);
+    admission_tick(gate.admission, now);
+    drop_expired_suspects(gate, now, verdicts);
+    if (accepts(gate))
+    {
+        start_queued(gate, now, verdicts);
+    }
     return verdicts;
 }
 
-load_report gate_report(const gate_state& gate, time_point /*now*/)
+load_report gate_report(const gate_state& gate, time_point now)
 {
     load_report report;
     report.in_flight = static_cast<std::uint32_t>(gate.running.size());
-    report.queued = static_cast<std::uint32_t>(gate.queue.size());
-    report.limit = gate.limit;
+    report.queued = static_cast<std::uint32_t>(
+        queue_size(gate.queue) + gate.suspects.size());
+    report.limit = current_limit(gate.limit, now);
+    report.level = level_of(gate.admission);
     return report;
 }
 
+std::vector<std::uint64_t> gate_running_digests(const gate_state& gate)
+{
+    std::vector<std::uint64_t> digests;
+    for (const auto& [ticket, running] : gate.running)
+    {
+        digests.push_back(running.digest);
+    }
+    std::ranges::sort(digests);
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return digests;
+}
+
 } // namespace cyclamenhold
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -5,6 +5,9 @@
 
 #include "core/base/request_context.hpp"
 #include "core/base/time.hpp"
+#include "core/gate/admission.hpp"
+#include "core/gate/concurrency_limit.hpp"
+#include "core/gate/fair_queue.hpp"
 #include "core/routing/upstream.hpp"
 
 #include <cstdint>
@@ -15,16 +18,6 @@
 namespace cyclamenhold
 {
 
-// Names a request at one gate; chosen by the caller, unique in its lifetime.
-using gate_ticket = std::uint64_t;
-
-struct gate_request
-{
-    gate_ticket ticket = 0;
-    request_context context;
-    time_point arrived{};
-};
-
 // What happens to a request that was offered, now or earlier.
 struct gate_verdict
 {
@@ -46,12 +39,24 @@
     cancelled
 };
 
+struct gate_running
+{
+    limit_sample_start sample;
+    std::uint64_t digest = 0;
+    bool suspect = false;
+};
+
 struct gate_state
 {
     upstream_record upstream;
-    std::uint32_t limit = 0;
-    std::unordered_map<gate_ticket, time_point> running;
-    std::deque<gate_request> queue;
+    concurrency_limit limit;
+    std::unordered_map<gate_ticket, gate_running> running;
+    fair_queue queue;
+    // Suspects wait here and run one at a time, so that a death that happens
+    // beside a suspect points at one request.
+    std::deque<gate_request> suspects;
+    bool suspect_running = false;
+    admission_control admission;
 };
 
 // Takes a new announcement of the local upstream. A draining or absent one
@@ -60,7 +65,8 @@
     gate_state& gate, const upstream_record& record, time_point now);
 
 // Offers a request. It is started, refused or queued; when queued, its verdict
-// comes from a later call.
+// comes from a later call. The verdicts may also refuse a less important
+// request that was queued before.
 [[nodiscard]] gate_verdicts
 gate_offer(gate_state& gate, gate_request request, time_point now);
 
@@ -80,4 +86,8 @@
 // The report that rides on replies.
 [[nodiscard]] load_report gate_report(const gate_state& gate, time_point now);
 
+// The digests of all running requests, for the report of a death.
+[[nodiscard]] std::vector<std::uint64_t>
+gate_running_digests(const gate_state& gate);
+
 } // namespace cyclamenhold
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -1,14 +1,20 @@
 #include "core/request/call.hpp"
 
-#include <algorithm>
+#include "core/gate/admission_position.hpp"
+#include "core/request/call_context.hpp"
 
-#include <xxhash.h>
+#include <algorithm>
+#include <cassert>
+#include <optional>
+#include <utility>
 
 namespace cyclamenhold
 {
 namespace
 {
 
+constexpr unsigned first_server_error = 500;
+
 call_step refuse(refusal reason, outcome result, duration retry_after = {})
 {
     call_step step;
@@ -23,44 +29,24 @@
     return call.may_have_run ? outcome::unknown : outcome::not_run;
 }
 
-std::uint64_t digest_of(const call_request& request, workspace_id workspace)
-{
-    const std::string text =
-        request.method + ' ' + request.target + ' ' + request.idempotency_key;
-    return XXH3_64bits_withSeed(
-        text.data(), text.size(), static_cast<XXH64_hash_t>(workspace));
-}
-
-// Fills the context from the route and, for a child call, from the parent.
-void fill_context(
-    call_state& call, const call_request& request, const route_entry& route,
-    workspace_id workspace, time_point now, random_source& random)
+// Hands what the choice saw of the service's levels to the record of the
+// parent, whose reply carries it to the entry node.
+void note_level_below(
+    request_path& path, const call_state& call, const routing_choice& choice,
+    time_point now)
 {
-    request_context& context = call.context;
-    const auto& settings = route.settings;
-    context.workspace = workspace;
-    context.service = route.service;
-    context.never_repeat = settings.never_repeat;
-    context.idempotency_key = request.idempotency_key;
-    context.digest = digest_of(request, workspace);
-    const auto limit = std::chrono::milliseconds(settings.deadline);
-    context.deadline = now + std::min(limit, request.timeout.value_or(limit));
-    if (request.parent)
+    if (choice.reason == refusal::no_upstream)
     {
-        const request_context& parent = *request.parent;
-        context.trace = parent.trace;
-        context.priority = parent.priority;
-        context.slot = parent.slot;
-        context.depth = parent.depth + 1;
-        context.retry_allowance = parent.retry_allowance;
-        context.deadline = std::min(context.deadline, parent.deadline);
         return;
     }
-    context.trace = {random(), random()};
-    context.priority = settings.priority;
-    context.slot =
-        static_cast<std::uint16_t>(random_below(random, admission_slot_count));
-    context.retry_allowance = settings.retry_allowance;
+    if (call.parent_record)
+    {
+        call.parent_record->downstream.note(choice.level);
+    }
+    else if (choice.reason == refusal::overloaded)
+    {
+        note_route_level(path.levels, call.route, choice.level, now);
+    }
 }
 
 call_step next_attempt(
@@ -70,8 +56,11 @@
     {
         return refuse(refusal::deadline_exceeded, outcome_of(call));
     }
+    // A never-repeat request that may have run is not sent again.
+    assert(!call.context.never_repeat || !call.may_have_run);
     const auto view = path.routing.read();
     auto choice = choose_upstream(*view, call.context, call.tried, now, random);
+    note_level_below(path, call, choice, now);
     if (choice.reason != refusal::none)
     {
         return refuse(choice.reason, outcome_of(call), 1s);
@@ -85,9 +74,48 @@
     step.kind = call_step_kind::attempt;
     step.target = call.target;
     step.context = call.context;
+    const auto [kept, passed] = split_allowance(call.context.retry_allowance);
+    call.context.retry_allowance = kept;
+    call.passed_allowance = passed;
+    step.context.retry_allowance = passed;
     return step;
 }
 
+// Refuses a root request that a service below its route would refuse.
+std::optional<call_step> refuse_early(
+    request_path& path, const call_state& call, time_point now,
+    random_source& random)
+{
+    const admission_level level = level_of_route(path.levels, call.route, now);
+    if (admits(level, call.context, random))
+    {
+        return std::nullopt;
+    }
+    return refuse(refusal::overloaded, outcome::not_run, 1s);
+}
+
+// Counts a root request against its workspace's retry budget when it is a
+// re-send. Without budget it is refused only while the services below the
+// route are overloaded, so that no refusal is made that capacity did not force.
+std::optional<call_step>
+count_resend(request_path& path, const call_state& call, time_point now)
+{
+    const workspace_id workspace = call.context.workspace;
+    if (!is_resend(path.retries, call.context.digest, now))
+    {
+        note_first_attempt(path.retries, workspace);
+        return std::nullopt;
+    }
+    const admission_level level = level_of_route(path.levels, call.route, now);
+    const bool overloaded = level.lowest_class <= call.context.priority &&
+                            open_positions(level) < admission_position_count;
+    if (take_retry(path.retries, workspace) || !overloaded)
+    {
+        return std::nullopt;
+    }
+    return refuse(refusal::retry_budget_exhausted, outcome::not_run, 1s);
+}
+
 call_step after_token(
     request_path& path, call_state& call, time_point now, random_source& random)
 {
@@ -107,6 +135,59 @@
     return step;
 }
 
+// Upstreams are judged by what requests saw: a reply that reports a fault of
+// the upstream counts as a failure, one that reports load does not.
+attempt_status judged_status(const attempt_result& result)
+{
+    const bool fault = result.http_status == 500 || result.http_status == 502;
+    return result.status == attempt_status::replied && fault
+               ? attempt_status::failed
+               : result.status;
+}
+
+// Only the node that sent nothing, or the upstream's node, can know.
+bool has_not_run(const attempt_result& result)
+{
+    return !result.sent || (result.status == attempt_status::refused &&
+                            result.result == outcome::not_run);
+}
+
+void note_downstream(
+    request_path& path, const call_state& call, const load_report& load,
+    time_point now)
+{
+    if (call.parent_record)
+    {
+        call.parent_record->downstream.note(load.downstream);
+        return;
+    }
+    note_route_level(path.levels, call.route, load.downstream, now);
+}
+
+// An attempt that ended without its upstream's word keeps what was passed.
+void take_back_allowance(call_state& call, const attempt_result& result)
+{
+    const std::uint16_t passed = std::exchange(call.passed_allowance, 0);
+    const std::uint16_t returned =
+        result.sent ? std::min(passed, result.returned_allowance) : passed;
+    call.context.retry_allowance += returned;
+}
+
+bool may_retry(
+    request_path& path, const call_state& call, const attempt_result& result)
+{
+    if (result.status == attempt_status::cancelled || !result.replayable ||
+        call.context.retry_allowance == 0)
+    {
+        return false;
+    }
+    if (call.context.never_repeat && call.may_have_run)
+    {
+        return false;
+    }
+    return take_retry(path.retries, call.context.workspace);
+}
+
 } // namespace
 
 call_step begin_call(
@@ -138,10 +219,24 @@
     {
         return refuse(refusal::unauthenticated, outcome::not_run);
     }
-    fill_context(call, request, *route, workspace, now, random);
+    fill_context(path, call, request, *route, workspace, now, random);
+    call.route = route->settings.name;
     call.needs_claim =
         call.context.never_repeat && !request.idempotency_key.empty();
-    if (workspace == workspace_id::none || request.parent)
+    if (request.parent)
+    {
+        note_first_attempt(path.retries, workspace);
+        return after_token(path, call, now, random);
+    }
+    if (auto refused = count_resend(path, call, now))
+    {
+        return *refused;
+    }
+    if (auto refused = refuse_early(path, call, now, random))
+    {
+        return *refused;
+    }
+    if (workspace == workspace_id::none)
     {
         return after_token(path, call, now, random);
     }
@@ -208,22 +303,24 @@
     time_point now, random_source& random)
 {
     note_attempt_ended(
-        *call.target.stats, result.status, now - call.attempt_started, now);
+        *call.target.stats, judged_status(result), now - call.attempt_started,
+        now);
     if (result.load)
     {
         note_load_report(*call.target.stats, *result.load, now);
+        note_downstream(path, call, *result.load, now);
     }
+    take_back_allowance(call, result);
     if (result.status == attempt_status::replied)
     {
+        call.answered = result.http_status < first_server_error;
         call_step step;
         step.kind = call_step_kind::deliver;
+        step.result = outcome::ran;
         return step;
     }
-    const bool not_run = !result.sent || result.result == outcome::not_run;
-    call.may_have_run = call.may_have_run || !not_run;
-    const bool repeatable = not_run || !call.context.never_repeat;
-    if (repeatable && result.replayable && call.context.retry_allowance > 0 &&
-        result.status != attempt_status::cancelled)
+    call.may_have_run = call.may_have_run || !has_not_run(result);
+    if (may_retry(path, call, result))
     {
         --call.context.retry_allowance;
         return next_attempt(path, call, now, random);
@@ -234,9 +331,22 @@
     return refuse(reason, outcome_of(call), 1s);
 }
 
-void end_call(request_path& path, call_state& call, time_point /*now*/)
+void end_call(request_path& path, call_state& call, time_point now)
 {
+    if (call.parent_record)
+    {
+        call.parent_record->allowance.give_back(call.context.retry_allowance);
+        call.parent_record.reset();
+    }
+    if (call.context.depth > 0)
+    {
+        return;
+    }
     cancel_wait(path.limiter, call.context.workspace, call.id);
+    if (!call.answered && call.context.digest != 0)
+    {
+        note_failed_request(path.retries, call.context.digest, now);
+    }
 }
 
 } // namespace cyclamenhold
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -8,11 +8,17 @@
 #include "core/base/snapshot_cell.hpp"
 #include "core/claims/claim.hpp"
 #include "core/rates/rate_limiter.hpp"
+#include "core/request/call_record.hpp"
+#include "core/request/fair_slots.hpp"
 #include "core/request/request_tables.hpp"
+#include "core/request/route_levels.hpp"
+#include "core/retries/allowance.hpp"
+#include "core/retries/retry_budget.hpp"
 #include "core/routing/routing.hpp"
 #include "ports/events.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,6 +34,9 @@
     snapshot_cell<request_tables> tables;
     snapshot_cell<routing_view> routing;
     rate_limiter limiter;
+    retry_budget retries;
+    fair_slots slots;
+    route_levels levels;
     std::atomic<bool> draining{false};
 };
 
@@ -43,6 +52,9 @@
     std::optional<std::uint64_t> body_size;
     // Set for a child call: the context of the parent's request.
     std::optional<request_context> parent;
+    // For a child call: the parent's record, which hands out the retry
+    // allowance. Without it the call has none.
+    std::shared_ptr<call_record> parent_record;
 };
 
 enum class call_step_kind : std::uint8_t
@@ -74,6 +86,9 @@
 };
 
 // What the adapter keeps for one call.
+//
+// `context.retry_allowance` is what the call holds now; what travels with an
+// attempt is in the step's context.
 struct call_state
 {
     // Unique at this node; token waiter and claim token are equal to it.
@@ -83,6 +98,11 @@
     // A byte of the request may have reached an upstream.
     bool may_have_run = false;
     std::uint32_t attempts = 0;
+    // Went out with the attempt under way and may come back with its end.
+    std::uint16_t passed_allowance = 0;
+    std::shared_ptr<call_record> parent_record;
+    std::string route;
+    bool answered = false;
     std::vector<host_id> tried;
     // The attempt under way.
     routing_candidate target;
@@ -97,9 +117,10 @@
     outcome result = outcome::unknown;
     // The HTTP status of a reply.
     unsigned http_status = 0;
-    // No byte of the request was handed to a link or upstream.
+    // A byte of the request was handed to a link or upstream.
     bool sent = true;
-    // The request's body can be sent again.
+    // The request's body can be sent again. A refusal that says `not_run`
+    // without it still ends the call.
     bool replayable = true;
     std::optional<load_report> load;
     // What the attempt and its children did not use.
--- /dev/null
+++ b/src/core/request/route_levels.hpp
@@ -0,0 +1,46 @@
+// What the entry node has learned about the services behind each route: the
+// most restrictive level that its requests met anywhere below. A request that a
+// deep service would refuse is refused here, before any work is done.
+// Thread-safe.
+#pragma once
+
+#include "core/base/random.hpp"
+#include "core/base/request_context.hpp"
+#include "core/base/time.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string_view>
+
+namespace cyclamenhold
+{
+
+struct route_level
+{
+    // Open positions, by the newest report.
+    std::atomic<std::uint32_t> positions{0};
+    std::atomic<std::int64_t> reported_at{0};
+};
+
+// Routes whose names share an entry share the level; there are few routes.
+struct route_levels
+{
+    std::array<route_level, 256> entries;
+};
+
+void note_route_level(
+    route_levels& levels, std::string_view route, const admission_level& level,
+    time_point now);
+
+// The level to apply to requests of the route; open when the report is stale.
+[[nodiscard]] admission_level level_of_route(
+    const route_levels& levels, std::string_view route, time_point now);
+
+// Whether a root request is let in; a small share goes through a closed level,
+// to learn when it opens.
+[[nodiscard]] bool admits(
+    const admission_level& level, const request_context& context,
+    random_source& random);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/retries/retry_budget.cpp
@@ -0,0 +1,75 @@
+#include "core/retries/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+// Retries allowed for each first attempt.
+constexpr double retry_share = 0.1;
+// What a workspace may save up, and has at first, so that small ones can
+// retry at all.
+constexpr double max_tokens = 10.0;
+constexpr std::size_t failed_table_size = 4096;
+constexpr duration failed_request_age = 10s;
+
+double& tokens_of(retry_budget& budget, workspace_id workspace)
+{
+    const auto [found, is_new] =
+        budget.workspaces.try_emplace(workspace, retry_tokens{max_tokens});
+    return found->second.tokens;
+}
+
+failed_request& entry_of(retry_budget& budget, std::uint64_t digest)
+{
+    if (budget.failed.empty())
+    {
+        budget.failed.resize(failed_table_size);
+    }
+    return budget.failed[digest % failed_table_size];
+}
+
+} // namespace
+
+void note_first_attempt(retry_budget& budget, workspace_id workspace)
+{
+    const std::scoped_lock lock(budget.mutex);
+    double& tokens = tokens_of(budget, workspace);
+    tokens = std::min(max_tokens, tokens + retry_share);
+}
+
+bool take_retry(retry_budget& budget, workspace_id workspace)
+{
+    const std::scoped_lock lock(budget.mutex);
+    double& tokens = tokens_of(budget, workspace);
+    if (tokens < 1.0)
+    {
+        return false;
+    }
+    tokens -= 1.0;
+    return true;
+}
+
+void note_failed_request(
+    retry_budget& budget, std::uint64_t digest, time_point now)
+{
+    const std::scoped_lock lock(budget.mutex);
+    entry_of(budget, digest) = {digest, now};
+}
+
+bool is_resend(retry_budget& budget, std::uint64_t digest, time_point now)
+{
+    const std::scoped_lock lock(budget.mutex);
+    failed_request& entry = entry_of(budget, digest);
+    if (entry.digest != digest || entry.at == time_point{} ||
+        now - entry.at > failed_request_age)
+    {
+        return false;
+    }
+    entry = {};
+    return true;
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/retries/retry_budget.hpp
@@ -0,0 +1,53 @@
+// Retries of a workspace at one node, bounded to a share of its first attempts,
+// and the callers' own re-sends, recognised by digest and counted against it.
+// Thread-safe.
+#pragma once
+
+#include "core/base/ids.hpp"
+#include "core/base/time.hpp"
+
+#include <cstdint>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+// A token bucket that first attempts fill and retries empty.
+struct retry_tokens
+{
+    double tokens = 0.0;
+};
+
+// A request that was not answered well, which its caller may send again.
+struct failed_request
+{
+    std::uint64_t digest = 0;
+    time_point at{};
+};
+
+struct retry_budget
+{
+    std::mutex mutex;
+    std::unordered_map<workspace_id, retry_tokens> workspaces;
+    // A direct-mapped table by digest: bounded, and the newest stays.
+    std::vector<failed_request> failed;
+};
+
+// A first attempt of the workspace.
+void note_first_attempt(retry_budget& budget, workspace_id workspace);
+
+// Takes one retry out of the workspace's budget; false when there is none.
+[[nodiscard]] bool take_retry(retry_budget& budget, workspace_id workspace);
+
+// A root request failed or was refused, so that its caller may send it again.
+void note_failed_request(
+    retry_budget& budget, std::uint64_t digest, time_point now);
+
+// Whether a root request is the caller's re-send of one that failed lately.
+// Each failure is matched by one re-send.
+[[nodiscard]] bool
+is_resend(retry_budget& budget, std::uint64_t digest, time_point now);
+
+} // namespace cyclamenhold
--- a/src/core/routing/routing.cpp
+++ b/src/core/routing/routing.cpp
@@ -1,12 +1,36 @@
 #include "core/routing/routing.hpp"
 
+#include "core/gate/admission_position.hpp"
+
 #include <algorithm>
+#include <cmath>
+
+#include <boost/container/small_vector.hpp>
 
 namespace cyclamenhold
 {
 namespace
 {
 
+// At most this share of a service's upstreams is ejected at once, and never
+// the only one.
+constexpr double max_ejected_share = 0.5;
+// Of the requests that a level would refuse, one in so many goes through, to
+// learn when the upstream accepts more.
+constexpr std::uint64_t probe_interval = 50;
+// Requests leave the data centre when their upstream here has this load for
+// each request it may run, and one elsewhere at most the second share of it.
+constexpr double spill_load = 1.0;
+constexpr double spill_advantage = 0.7;
+// The limit assumed of an upstream that announced nothing usable.
+constexpr double default_limit = 10.0;
+// Share of the announced slots to count on while an upstream warms up and has
+// not reported its limit.
+constexpr double warming_share = 0.1;
+
+using candidate_list =
+    boost::container::small_vector<const routing_candidate*, 16>;
+
 std::shared_ptr<upstream_stats>
 stats_of(const upstream_location& location, const routing_view& previous)
 {
@@ -33,10 +57,135 @@
     return state == upstream_state::serving || state == upstream_state::warming;
 }
 
-std::uint32_t load_of(const routing_candidate& candidate)
+bool was_tried(
+    const routing_candidate& candidate, std::span<const host_id> tried)
+{
+    return std::ranges::find(tried, candidate.location.host) != tried.end();
+}
+
+double limit_of(const routing_candidate& candidate)
+{
+    const upstream_record& record = candidate.location.record;
+    double limit =
+        candidate.stats->reported_limit.load(std::memory_order_relaxed);
+    if (limit <= 0.0)
+    {
+        const double slots = record.slots > 0 ? record.slots : default_limit;
+        const bool warming = record.state == upstream_state::warming;
+        limit = warming ? slots * warming_share : slots;
+    }
+    return std::max(1.0, limit);
+}
+
+// Load for each request that the upstream may run, the next one included.
+double relative_load(const routing_candidate& candidate, time_point now)
+{
+    const upstream_stats& stats = *candidate.stats;
+    return (believed_load(stats, now) + 1.0) /
+           (limit_of(candidate) * probation_share(stats, now));
+}
+
+// Drops the ejected ones, but not more of them than the set share; those whose
+// ejection ends first stay.
+void drop_ejected(candidate_list& usable, time_point now)
+{
+    candidate_list ejected;
+    for (const auto* candidate : usable)
+    {
+        if (is_ejected(*candidate->stats, now))
+        {
+            ejected.push_back(candidate);
+        }
+    }
+    if (ejected.empty())
+    {
+        return;
+    }
+    const auto allowed = static_cast<std::size_t>(
+        static_cast<double>(usable.size()) * max_ejected_share);
+    std::ranges::stable_sort(
+        ejected, std::ranges::greater(),
+        [](const routing_candidate* candidate)
+        {
+            return candidate->stats->ejected_until.load(
+                std::memory_order_relaxed);
+        });
+    ejected.resize(std::min(allowed, ejected.size()));
+    const auto is_dropped = [&](const routing_candidate* candidate)
+    {
+        return std::ranges::find(ejected, candidate) != ejected.end();
+    };
+    usable.erase(
+        std::remove_if(usable.begin(), usable.end(), is_dropped), usable.end());
+}
+
+const routing_candidate* better_of_two(
+    const candidate_list& candidates, time_point now, random_source& random)
 {
-    return candidate.stats->outstanding.load(std::memory_order_relaxed) +
-           candidate.stats->reported_load.load(std::memory_order_relaxed);
+    const auto size = candidates.size();
+    const auto first = random_below(random, size);
+    if (size == 1)
+    {
+        return candidates[first];
+    }
+    const auto second = (first + 1 + random_below(random, size - 1)) % size;
+    return relative_load(*candidates[second], now) <
+                   relative_load(*candidates[first], now)
+               ? candidates[second]
+               : candidates[first];
+}
+
+// Local upstreams first; another data centre when there are none, or when they
+// are full and one elsewhere is clearly less loaded.
+const routing_candidate* pick(
+    const candidate_list& candidates, data_centre_id local_data_centre,
+    time_point now, random_source& random)
+{
+    candidate_list local;
+    candidate_list remote;
+    for (const auto* candidate : candidates)
+    {
+        const bool is_local =
+            candidate->location.data_centre == local_data_centre;
+        (is_local ? local : remote).push_back(candidate);
+    }
+    if (local.empty())
+    {
+        return better_of_two(remote, now, random);
+    }
+    const auto* const here = better_of_two(local, now, random);
+    const double load_here = relative_load(*here, now);
+    if (remote.empty() || load_here <= spill_load)
+    {
+        return here;
+    }
+    const auto* const there = better_of_two(remote, now, random);
+    return relative_load(*there, now) < load_here * spill_advantage ? there
+                                                                    : here;
+}
+
+candidate_list usable_of(
+    const std::vector<routing_candidate>& candidates,
+    std::span<const host_id> tried, time_point now)
+{
+    candidate_list usable;
+    for (const auto& candidate : candidates)
+    {
+        if (is_usable(candidate))
+        {
+            usable.push_back(&candidate);
+        }
+    }
+    drop_ejected(usable, now);
+    candidate_list untried;
+    for (const auto* candidate : usable)
+    {
+        if (!was_tried(*candidate, tried))
+        {
+            untried.push_back(candidate);
+        }
+    }
+    return untried.empty() ? usable : untried;
 }
 
 } // namespace
@@ -60,57 +209,42 @@
 
 routing_choice choose_upstream(
     const routing_view& view, const request_context& context,
-    std::span<const host_id> tried, time_point /*now*/, random_source& random)
+    std::span<const host_id> tried, time_point now, random_source& random)
 {
+    routing_choice choice;
     const auto found = view.services.find(context.service);
     if (found == view.services.end())
     {
-        return {refusal::no_upstream, {}};
+        choice.reason = refusal::no_upstream;
+        return choice;
+    }
+    const candidate_list usable = usable_of(found->second, tried, now);
+    if (usable.empty())
+    {
+        choice.reason = refusal::no_upstream;
+        return choice;
     }
-    std::vector<const routing_candidate*> local;
-    std::vector<const routing_candidate*> remote;
-    for (const auto& candidate : found->second)
+    candidate_list accepting;
+    std::uint32_t most_open = 0;
+    for (const auto* candidate : usable)
     {
-        if (!is_usable(candidate) ||
-            std::ranges::find(tried, candidate.location.host) != tried.end())
+        const admission_level level = believed_level(*candidate->stats, now);
+        most_open = std::max(most_open, open_positions(level));
+        if (passes(level, context.priority, context.slot))
         {
-            continue;
+            accepting.push_back(candidate);
         }
-        const bool is_local =
-            candidate.location.data_centre == view.local_data_centre;
-        (is_local ? local : remote).push_back(&candidate);
     }
-    const auto& usable = local.empty() ? remote : local;
-    if (usable.empty())
+    choice.level = level_at(most_open);
+    if (accepting.empty() && random_below(random, probe_interval) != 0)
     {
-        return {refusal::no_upstream, {}};
+        choice.reason = refusal::overloaded;
+        return choice;
     }
-    const auto* first = usable[random_below(random, usable.size())];
-    const auto* second = usable[random_below(random, usable.size())];
-    return {
-        refusal::none, load_of(*second) < load_of(*first) ? *second : *first};
-}
-
-void note_attempt_started(upstream_stats& stats)
-{
-    stats.outstanding.fetch_add(1, std::memory_order_relaxed);
-}
-
-void note_attempt_ended(
-    upstream_stats& stats, attempt_status /*status*/, duration /*latency*/,
-    time_point /*now*/)
-{
-    stats.outstanding.fetch_sub(1, std::memory_order_relaxed);
-}
-
-void note_load_report(
-    upstream_stats& stats, const load_report& report, time_point now)
-{
-    stats.reported_load.store(
-        report.in_flight + report.queued, std::memory_order_relaxed);
-    stats.reported_limit.store(report.limit, std::memory_order_relaxed);
-    stats.reported_at.store(
-        now.time_since_epoch().count(), std::memory_order_relaxed);
+    choice.candidate = *pick(
+        accepting.empty() ? usable : accepting, view.local_data_centre, now,
+        random);
+    return choice;
 }
 
 } // namespace cyclamenhold
--- a/src/core/routing/routing.hpp
+++ b/src/core/routing/routing.hpp
@@ -5,11 +5,9 @@
 #include "core/base/request_context.hpp"
 #include "core/base/time.hpp"
 #include "core/routing/upstream.hpp"
+#include "core/routing/upstream_stats.hpp"
 
-#include <atomic>
-#include <cstdint>
 #include <memory>
-#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -17,20 +15,6 @@
 namespace cyclamenhold
 {
 
-// What this node has learned of one upstream from its own requests. Shared by
-// all request threads and by successive views.
-struct upstream_stats
-{
-    // Attempts of this node that are under way there.
-    std::atomic<std::uint32_t> outstanding{0};
-    // The newest report: running plus queued, limit, admission level.
-    std::atomic<std::uint32_t> reported_load{0};
-    std::atomic<std::uint32_t> reported_limit{0};
-    std::atomic<std::uint32_t> reported_level{0};
-    // Nanoseconds of the clock when the report came.
-    std::atomic<std::int64_t> reported_at{0};
-};
-
 struct routing_candidate
 {
     upstream_location location;
@@ -55,6 +39,8 @@
     // `none` when an upstream was chosen.
     refusal reason = refusal::none;
     routing_candidate candidate;
+    // The most permissive level of the service's usable upstreams.
+    admission_level level;
 };
 
 // Chooses an upstream for a request, avoiding the hosts in `tried` while there
@@ -63,24 +49,4 @@
     const routing_view& view, const request_context& context,
     std::span<const host_id> tried, time_point now, random_source& random);
 
-// How an attempt at an upstream ended, as its caller's node saw it.
-enum class attempt_status : std::uint8_t
-{
-    // A whole reply, of whatever HTTP status.
-    replied,
-    // The upstream's node refused; the request has not run.
-    refused,
-    // The connection or the upstream failed.
-    failed,
-    timed_out,
-    cancelled
-};
-
-void note_attempt_started(upstream_stats& stats);
-void note_attempt_ended(
-    upstream_stats& stats, attempt_status status, duration latency,
-    time_point now);
-void note_load_report(
-    upstream_stats& stats, const load_report& report, time_point now);
-
 } // namespace cyclamenhold
--- a/src/core/routing/upstream.hpp
+++ b/src/core/routing/upstream.hpp
@@ -65,6 +65,8 @@
     // The gate's present concurrency limit.
     std::uint32_t limit = 0;
     admission_level level;
+    // The most restrictive level that the calls below the request met.
+    admission_level downstream;
 };
 
 } // namespace cyclamenhold
--- /dev/null
+++ b/src/core/routing/upstream_stats.cpp
@@ -0,0 +1,178 @@
+#include "core/routing/upstream_stats.hpp"
+
+#include "core/gate/admission_position.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr duration load_report_age = 500ms;
+// An upstream that had to refuse much is left alone so long; then requests
+// find out whether it recovered.
+constexpr duration level_report_age = 500ms;
+
+constexpr std::uint32_t millionths = 1'000'000;
+constexpr std::uint32_t failure_weight_divisor = 10;
+constexpr std::uint32_t ejecting_failure_share = 600'000;
+constexpr std::uint32_t min_judged = 10;
+constexpr std::uint32_t ejecting_failures_in_a_row = 5;
+constexpr duration first_ejection = 2s;
+constexpr std::uint32_t max_ejection_doublings = 4;
+constexpr duration probation_time = 5s;
+constexpr double probation_floor = 0.05;
+
+std::int64_t nanoseconds(time_point at)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+               at.time_since_epoch())
+        .count();
+}
+
+bool is_recent(
+    const std::atomic<std::int64_t>& at, duration age, time_point now)
+{
+    const std::int64_t value = at.load(std::memory_order_relaxed);
+    return value != 0 && nanoseconds(now - age) <= value;
+}
+
+void eject(upstream_stats& stats, time_point now)
+{
+    const std::uint32_t earlier =
+        stats.ejections.fetch_add(1, std::memory_order_relaxed);
+    const auto doublings = std::min(earlier, max_ejection_doublings);
+    stats.ejected_until.store(
+        nanoseconds(now + first_ejection * (1U << doublings)),
+        std::memory_order_relaxed);
+    stats.failures_in_a_row.store(0, std::memory_order_relaxed);
+    stats.failure_share.store(0, std::memory_order_relaxed);
+    stats.judged.store(0, std::memory_order_relaxed);
+}
+
+void note_success(upstream_stats& stats, time_point now)
+{
+    stats.failures_in_a_row.store(0, std::memory_order_relaxed);
+    const std::uint32_t share =
+        stats.failure_share.load(std::memory_order_relaxed);
+    stats.failure_share.store(
+        share - share / failure_weight_divisor, std::memory_order_relaxed);
+    stats.judged.fetch_add(1, std::memory_order_relaxed);
+    // A spell without ejection forgives the earlier ones.
+    if (probation_share(stats, now) >= 1.0)
+    {
+        stats.ejections.store(0, std::memory_order_relaxed);
+    }
+}
+
+void note_failure(upstream_stats& stats, time_point now)
+{
+    if (is_ejected(stats, now))
+    {
+        return;
+    }
+    const bool on_probation = probation_share(stats, now) < 1.0;
+    const auto in_a_row =
+        stats.failures_in_a_row.fetch_add(1, std::memory_order_relaxed) + 1;
+    const auto judged =
+        stats.judged.fetch_add(1, std::memory_order_relaxed) + 1;
+    const auto before = stats.failure_share.load(std::memory_order_relaxed);
+    const std::uint32_t share =
+        before + (millionths - before) / failure_weight_divisor;
+    stats.failure_share.store(share, std::memory_order_relaxed);
+    const bool often = judged >= min_judged && share >= ejecting_failure_share;
+    const bool again = on_probation && in_a_row >= 2;
+    if (often || again || in_a_row >= ejecting_failures_in_a_row)
+    {
+        eject(stats, now);
+    }
+}
+
+} // namespace
+
+void note_attempt_started(upstream_stats& stats)
+{
+    stats.outstanding.fetch_add(1, std::memory_order_relaxed);
+}
+
+void note_attempt_ended(
+    upstream_stats& stats, attempt_status status, duration /*latency*/,
+    time_point now)
+{
+    stats.outstanding.fetch_sub(1, std::memory_order_relaxed);
+    switch (status)
+    {
+    case attempt_status::replied:
+        note_success(stats, now);
+        return;
+    case attempt_status::failed:
+    case attempt_status::timed_out:
+        note_failure(stats, now);
+        return;
+    case attempt_status::refused:
+    case attempt_status::cancelled:
+        return;
+    }
+}
+
+void note_load_report(
+    upstream_stats& stats, const load_report& report, time_point now)
+{
+    stats.reported_load.store(
+        report.in_flight + report.queued, std::memory_order_relaxed);
+    stats.reported_limit.store(report.limit, std::memory_order_relaxed);
+    stats.reported_level.store(
+        open_positions(report.level), std::memory_order_relaxed);
+    stats.outstanding_at_report.store(
+        stats.outstanding.load(std::memory_order_relaxed),
+        std::memory_order_relaxed);
+    stats.reported_at.store(nanoseconds(now), std::memory_order_relaxed);
+}
+
+double believed_load(const upstream_stats& stats, time_point now)
+{
+    const double outstanding =
+        stats.outstanding.load(std::memory_order_relaxed);
+    if (!is_recent(stats.reported_at, load_report_age, now))
+    {
+        return outstanding;
+    }
+    const double reported = stats.reported_load.load(std::memory_order_relaxed);
+    const double before =
+        stats.outstanding_at_report.load(std::memory_order_relaxed);
+    return std::max(outstanding, reported + outstanding - before);
+}
+
+admission_level believed_level(const upstream_stats& stats, time_point now)
+{
+    const std::uint32_t positions =
+        stats.reported_level.load(std::memory_order_relaxed);
+    if (positions == 0 || !is_recent(stats.reported_at, level_report_age, now))
+    {
+        return {};
+    }
+    return level_at(positions);
+}
+
+bool is_ejected(const upstream_stats& stats, time_point now)
+{
+    return nanoseconds(now) <
+           stats.ejected_until.load(std::memory_order_relaxed);
+}
+
+double probation_share(const upstream_stats& stats, time_point now)
+{
+    const std::int64_t ended =
+        stats.ejected_until.load(std::memory_order_relaxed);
+    if (ended == 0)
+    {
+        return 1.0;
+    }
+    const double elapsed =
+        static_cast<double>(nanoseconds(now) - ended) /
+        static_cast<double>(nanoseconds(time_point(probation_time)));
+    return std::clamp(elapsed, probation_floor, 1.0);
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/core/gate_test.cpp
@@ -0,0 +1,281 @@
+#include "core/base/random.hpp"
+#include "core/gate/gate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+const time_point start_time{1000s};
+
+upstream_record serving(std::uint32_t slots, std::uint32_t connections = 1000)
+{
+    return {"lookup", upstream_state::serving, slots, connections, 1};
+}
+
+gate_request make_request(
+    gate_ticket ticket, priority_class priority = priority_class::normal,
+    std::uint64_t workspace = 1, time_point deadline = start_time + 10s)
+{
+    gate_request request;
+    request.ticket = ticket;
+    request.context.priority = priority;
+    request.context.workspace = static_cast<workspace_id>(workspace);
+    request.context.deadline = deadline;
+    return request;
+}
+
+gate_state make_gate(std::uint32_t slots)
+{
+    gate_state gate;
+    EXPECT_TRUE(gate_set_upstream(gate, serving(slots), start_time).empty());
+    return gate;
+}
+
+bool holds(const gate_verdicts& verdicts, gate_ticket ticket, refusal reason)
+{
+    return std::ranges::any_of(
+        verdicts,
+        [&](const gate_verdict& verdict)
+        {
+            return verdict.ticket == ticket && verdict.reason == reason;
+        });
+}
+
+TEST(gate, order_of_the_queue)
+{
+    gate_state gate = make_gate(1);
+    EXPECT_TRUE(
+        holds(gate_offer(gate, make_request(1), start_time), 1, refusal::none));
+    {
+        SCOPED_TRACE("what finds no slot waits");
+        EXPECT_TRUE(gate_offer(gate, make_request(2), start_time).empty());
+        EXPECT_TRUE(gate_offer(gate, make_request(3), start_time).empty());
+        EXPECT_TRUE(
+            gate_offer(
+                gate, make_request(4, priority_class::normal, 2), start_time)
+                .empty());
+        EXPECT_TRUE(
+            gate_offer(
+                gate, make_request(5, priority_class::critical), start_time)
+                .empty());
+    }
+    {
+        SCOPED_TRACE("the important class goes first, then the workspace that "
+                     "was served least, then the oldest");
+        gate_ticket ended = 1;
+        for (const gate_ticket next : {5, 4, 2, 3})
+        {
+            const auto verdicts =
+                gate_finish(gate, ended, gate_result::replied, start_time);
+            EXPECT_TRUE(holds(verdicts, next, refusal::none)) << next;
+            ended = next;
+        }
+    }
+}
+
+TEST(gate, full_queue)
+{
+    gate_state gate = make_gate(1);
+    gate_ticket ticket = 0;
+    while (queue_size(gate.queue) < 32)
+    {
+        (void)gate_offer(
+            gate, make_request(++ticket, priority_class::low), start_time);
+    }
+    {
+        SCOPED_TRACE("a more important request takes the place of another");
+        const auto verdicts = gate_offer(
+            gate, make_request(100, priority_class::high), start_time);
+        ASSERT_EQ(verdicts.size(), 1U);
+        EXPECT_EQ(verdicts[0].reason, refusal::overloaded);
+        EXPECT_NE(verdicts[0].ticket, 100U);
+    }
+    {
+        SCOPED_TRACE("a workspace with little in the queue takes the place of "
+                     "one with much");
+        const auto verdicts = gate_offer(
+            gate, make_request(101, priority_class::low, 2), start_time);
+        ASSERT_EQ(verdicts.size(), 1U);
+        EXPECT_NE(verdicts[0].ticket, 101U);
+    }
+    {
+        SCOPED_TRACE("nothing less important displaces");
+        for (gate_ticket next = 200; next < 300; ++next)
+        {
+            (void)gate_offer(
+                gate, make_request(next, priority_class::high), start_time);
+        }
+        const auto verdicts = gate_offer(
+            gate, make_request(300, priority_class::low, 9), start_time);
+        EXPECT_TRUE(holds(verdicts, 300, refusal::overloaded));
+    }
+}
+
+TEST(gate, work_nobody_waits_for)
+{
+    gate_state gate = make_gate(1);
+    (void)gate_offer(gate, make_request(1), start_time);
+    (void)gate_offer(
+        gate, make_request(2, priority_class::normal, 1, start_time + 50ms),
+        start_time);
+    (void)gate_offer(gate, make_request(3), start_time);
+    (void)gate_offer(gate, make_request(4), start_time);
+    {
+        SCOPED_TRACE("expired requests are refused, never started");
+        EXPECT_TRUE(holds(
+            gate_tick(gate, start_time + 50ms), 2, refusal::deadline_exceeded));
+    }
+    {
+        SCOPED_TRACE("cancelled requests are forgotten");
+        EXPECT_TRUE(gate_cancel(gate, 3, start_time + 60ms).empty());
+        const auto verdicts =
+            gate_finish(gate, 1, gate_result::replied, start_time + 70ms);
+        ASSERT_EQ(verdicts.size(), 1U);
+        EXPECT_TRUE(holds(verdicts, 4, refusal::none));
+    }
+    {
+        SCOPED_TRACE("a draining upstream gets nothing more");
+        (void)gate_offer(gate, make_request(5), start_time + 80ms);
+        upstream_record record = serving(1);
+        record.state = upstream_state::draining;
+        EXPECT_TRUE(holds(
+            gate_set_upstream(gate, record, start_time + 90ms), 5,
+            refusal::draining));
+        EXPECT_TRUE(holds(
+            gate_offer(gate, make_request(6), start_time + 90ms), 6,
+            refusal::draining));
+    }
+}
+
+TEST(gate, suspects_run_one_at_a_time)
+{
+    gate_state gate = make_gate(10);
+    for (const gate_ticket ticket : {1, 2})
+    {
+        gate_request request = make_request(ticket);
+        request.suspect = true;
+        request.context.digest = 70 + ticket;
+        const bool started =
+            !gate_offer(gate, std::move(request), start_time).empty();
+        EXPECT_EQ(started, ticket == 1);
+    }
+    EXPECT_TRUE(
+        holds(gate_offer(gate, make_request(3), start_time), 3, refusal::none));
+    EXPECT_EQ(gate_running_digests(gate), (std::vector<std::uint64_t>{0, 71}));
+    EXPECT_TRUE(holds(
+        gate_finish(gate, 1, gate_result::replied, start_time), 2,
+        refusal::none));
+}
+
+// An upstream that runs `slots` requests at once and queues the rest, under a
+// gate with always more waiting. Returns the limit after `length`.
+std::uint32_t
+learn_limit(std::uint32_t announced, std::uint32_t slots, duration length)
+{
+    gate_state gate = make_gate(announced);
+    random_source random(7);
+    std::multimap<time_point, gate_ticket> ends;
+    std::deque<gate_ticket> inside;
+    std::size_t busy = 0;
+    gate_ticket next = 0;
+    time_point now = start_time;
+    time_point tick_at = now;
+    const auto begin_inside = [&](gate_ticket ticket)
+    {
+        ++busy;
+        ends.emplace(now + 20ms + random_below(random, 20) * 1ms, ticket);
+    };
+    const auto take = [&](const gate_verdicts& verdicts)
+    {
+        for (const auto& [ticket, reason] : verdicts)
+        {
+            if (reason != refusal::none)
+            {
+                continue;
+            }
+            if (busy < slots)
+            {
+                begin_inside(ticket);
+                continue;
+            }
+            inside.push_back(ticket);
+        }
+    };
+    while (now < start_time + length)
+    {
+        for (int i = 0; i < 30; ++i)
+        {
+            take(gate_offer(
+                gate,
+                make_request(++next, priority_class::normal, 1, now + 10s),
+                now));
+        }
+        now += 1ms;
+        while (!ends.empty() && ends.begin()->first <= now)
+        {
+            const gate_ticket ticket = ends.begin()->second;
+            ends.erase(ends.begin());
+            --busy;
+            if (!inside.empty())
+            {
+                begin_inside(inside.front());
+                inside.pop_front();
+            }
+            take(gate_finish(gate, ticket, gate_result::replied, now));
+        }
+        if (now >= tick_at)
+        {
+            take(gate_tick(gate, now));
+            tick_at = now + 10ms;
+        }
+    }
+    return static_cast<std::uint32_t>(gate.limit.value);
+}
+
+TEST(gate, limit_follows_the_upstream)
+{
+    {
+        SCOPED_TRACE("a true announcement is kept");
+        const auto limit = learn_limit(100, 100, 30s);
+        EXPECT_GE(limit, 90U);
+        EXPECT_LE(limit, 125U);
+    }
+    {
+        SCOPED_TRACE("an announcement five times too high is corrected");
+        const auto limit = learn_limit(100, 20, 15s);
+        EXPECT_GE(limit, 17U);
+        EXPECT_LE(limit, 30U);
+    }
+    {
+        SCOPED_TRACE("an announcement five times too low is corrected");
+        EXPECT_GE(learn_limit(20, 100, 30s), 85U);
+    }
+    {
+        SCOPED_TRACE("the connection cap binds");
+        gate_state gate;
+        (void)gate_set_upstream(gate, serving(100, 30), start_time);
+        EXPECT_EQ(gate_report(gate, start_time).limit, 30U);
+    }
+}
+
+TEST(gate, shedding_upstream)
+{
+    gate_state gate = make_gate(100);
+    gate_ticket ticket = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        (void)gate_offer(gate, make_request(++ticket), start_time);
+    }
+    (void)gate_finish(gate, 1, gate_result::shed, start_time + 100ms);
+    EXPECT_EQ(gate_report(gate, start_time + 100ms).limit, 90U);
+}
+
+} // namespace
+} // namespace cyclamenhold
