Carry the clock, the record of a running request and the level below it

Cause: child calls need their parent's allowance, callers the level below, events an order. Change: the call handle holds the call record, load samples carry the downstream level, frames the hybrid clock. Conclusion: the overload policy's inputs all travel.

--- a/src/adapters/call_handles.cpp
+++ b/src/adapters/call_handles.cpp
@@ -33,7 +33,7 @@
 {
     auto request = std::make_shared<running_request>();
     request->handle = make_handle();
-    request->context = context;
+    request->record = std::make_shared<call_record>(context);
     const std::scoped_lock lock(handles.mutex);
     handles.running.emplace(request->handle, request);
     return request;
--- a/src/adapters/call_handles.hpp
+++ b/src/adapters/call_handles.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "adapters/exchange.hpp"
+#include "core/request/call_record.hpp"
 
 #include <memory>
 #include <mutex>
@@ -19,7 +20,8 @@
 struct running_request
 {
     std::string handle;
-    request_context context;
+    // What the child calls need and share: context, retry allowance, levels.
+    std::shared_ptr<call_record> record;
     std::mutex mutex;
     bool ended = false;
     // Child calls under way.
--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -254,7 +254,8 @@
             co_return;
         }
         request->key.reset();
-        request->parent = parent->context;
+        request->parent = parent->record->context;
+        request->parent_record = parent->record;
     }
     co_await run_call(caller, std::move(*request), std::move(parent));
 }
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -37,13 +37,15 @@
     }
     call.handle = request->handle;
     call.body_stall_timeout = gate->services.limits.body_stall_timeout;
-    call.report = [gate]
+    call.report = [gate, record = request->record]
     {
-        return report_of(*gate);
+        load_report report = report_of(*gate);
+        report.downstream = record->downstream.read();
+        return report;
     };
-    call.returned_allowance = []
+    call.returned_allowance = [record = request->record]
     {
-        return std::uint16_t{0};
+        return record->allowance.close();
     };
     const auto [result, reusable] = co_await call_upstream(std::move(call));
     end_running(gate->handles, request);
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -223,6 +223,14 @@
     {
         node.events->record(seen);
     };
+    node.services.stamp_send = [&node]
+    {
+        return node.events->stamp_send();
+    };
+    node.services.note_receive = [&node](hybrid_time remote)
+    {
+        node.events->note_receive(remote);
+    };
     node.services.run_local = [&node](const exchange_ptr& work)
     {
         run_at_gate(node.gate, work);
--- a/src/adapters/node_services.hpp
+++ b/src/adapters/node_services.hpp
@@ -5,6 +5,7 @@
 
 #include "adapters/exchange.hpp"
 #include "core/base/ids.hpp"
+#include "core/events/hybrid_clock.hpp"
 #include "core/request/call.hpp"
 #include "ports/events.hpp"
 #include "ports/messages.hpp"
@@ -44,6 +45,9 @@
 
     // Records an event; callable from any thread.
     std::function<void(const event&)> record;
+    // The hybrid clock for a frame that leaves, and of one that came.
+    std::function<hybrid_time()> stamp_send;
+    std::function<void(hybrid_time)> note_receive;
     // Runs a request that came for the local upstream, from any thread.
     std::function<void(const exchange_ptr&)> run_local;
     // Hands a control message of a peer to the control thread.
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -139,7 +139,8 @@
     else if (event.head)
     {
         encode_reply_head(
-            pending, id, *event.head, load, event.returned_allowance);
+            pending, id, *event.head, load, event.returned_allowance,
+            link->services.stamp_send());
     }
 }
 
@@ -379,6 +380,10 @@
 // True when the frame was one that may come on an established link.
 bool dispatch_frame(const peer_link_ptr& link, const wire::frame& frame)
 {
+    if (frame.clock() != 0)
+    {
+        link->services.note_receive(static_cast<hybrid_time>(frame.clock()));
+    }
     switch (frame.body_type())
     {
     case wire::frame_body::open_stream:
@@ -467,7 +472,7 @@
     work->untouched = false;
     encode_open_stream(
         link->connection->pending, id, work->context, work->head,
-        work->target_incarnation, now());
+        work->target_incarnation, now(), link->services.stamp_send());
     set_abort(
         *work,
         [weak = std::weak_ptr(link), executor, id]
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -13,9 +13,10 @@
 template <class Body>
 void append_frame(
     std::vector<std::uint8_t>& out, builder& fbb, wire::frame_body type,
-    flatbuffers::Offset<Body> body)
+    flatbuffers::Offset<Body> body, hybrid_time clock = hybrid_time::none)
 {
-    fbb.Finish(wire::Createframe(fbb, 0, type, body.Union()));
+    fbb.Finish(wire::Createframe(
+        fbb, static_cast<std::uint64_t>(clock), type, body.Union()));
     const auto size = static_cast<std::uint32_t>(fbb.GetSize());
     for (std::size_t i = 0; i < frame_prefix_bytes; ++i)
     {
@@ -90,9 +91,13 @@
 
 wire::load_sample pack_load(const load_report& load)
 {
-    return {
-        load.in_flight, load.queued, load.limit,
-        static_cast<std::uint8_t>(load.level.lowest_class), load.level.slots};
+    return {load.in_flight,
+            load.queued,
+            load.limit,
+            static_cast<std::uint8_t>(load.level.lowest_class),
+            load.level.slots,
+            static_cast<std::uint8_t>(load.downstream.lowest_class),
+            load.downstream.slots};
 }
 
 priority_class unpack_priority(std::uint8_t value)
@@ -155,7 +160,7 @@
 void encode_open_stream(
     std::vector<std::uint8_t>& out, std::uint64_t stream,
     const request_context& context, const request_head& head,
-    incarnation target_incarnation, time_point now)
+    incarnation target_incarnation, time_point now, hybrid_time clock)
 {
     builder fbb(1024);
     const auto key = fbb.CreateString(context.idempotency_key);
@@ -184,7 +189,7 @@
     open.add_headers(headers);
     open.add_body_size(pack_size(head.body_size));
     open.add_target_incarnation(target_incarnation);
-    append_frame(out, fbb, wire::frame_body::open_stream, open.Finish());
+    append_frame(out, fbb, wire::frame_body::open_stream, open.Finish(), clock);
 }
 
 void encode_stream_data(
@@ -229,7 +234,7 @@
 void encode_reply_head(
     std::vector<std::uint8_t>& out, std::uint64_t stream,
     const reply_head& head, const load_report& load,
-    std::uint16_t returned_allowance)
+    std::uint16_t returned_allowance, hybrid_time clock)
 {
     builder fbb(512);
     const auto headers = pack_headers(fbb, head.headers);
@@ -238,7 +243,8 @@
         out, fbb, wire::frame_body::reply_head,
         wire::Createreply_head(
             fbb, stream, head.status, headers, pack_size(head.body_size),
-            &sample, returned_allowance));
+            &sample, returned_allowance),
+        clock);
 }
 
 void encode_stream_failed(
@@ -353,6 +359,8 @@
     load.limit = sample->limit();
     load.level.lowest_class = unpack_priority(sample->lowest_class());
     load.level.slots = sample->slots();
+    load.downstream.lowest_class = unpack_priority(sample->downstream_class());
+    load.downstream.slots = sample->downstream_slots();
     return load;
 }
 
--- a/src/wire/frame_codec.hpp
+++ b/src/wire/frame_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/base/request_context.hpp"
+#include "core/events/hybrid_clock.hpp"
 #include "core/routing/upstream.hpp"
 #include "ports/messages.hpp"
 #include "wire/generated/frames_generated.h"
@@ -58,11 +59,13 @@
     std::span<const std::uint8_t> nonce);
 void encode_proof(
     std::vector<std::uint8_t>& out, std::span<const std::uint8_t> mac);
-// The stream's deadline and claim term travel as what remains at `now`.
+// Frames that open a stream or begin its reply carry the sender's clock, so
+// that events on both sides are ordered. The stream's deadline and claim term
+// travel as what remains at `now`.
 void encode_open_stream(
     std::vector<std::uint8_t>& out, std::uint64_t stream,
     const request_context& context, const request_head& head,
-    incarnation target_incarnation, time_point now);
+    incarnation target_incarnation, time_point now, hybrid_time clock);
 void encode_stream_data(
     std::vector<std::uint8_t>& out, std::uint64_t stream,
     std::string_view bytes);
@@ -75,7 +78,7 @@
 void encode_reply_head(
     std::vector<std::uint8_t>& out, std::uint64_t stream,
     const reply_head& head, const load_report& load,
-    std::uint16_t returned_allowance);
+    std::uint16_t returned_allowance, hybrid_time clock);
 void encode_stream_failed(
     std::vector<std::uint8_t>& out, std::uint64_t stream,
     const stream_failure& failure, const load_report& load,
