Keep the chain of configuration changes, and plan them

Cause: an accepted change must be in force everywhere soon, never revert, and outlive the platform; operators need plans that any node can confirm. New in chain.hpp: share_with_members, applied_at, platform_read_at.

--- a/src/core/configuration/chain.cpp
+++ b/src/core/configuration/chain.cpp
@@ -1,47 +1,128 @@
 #include "core/configuration/chain.hpp"
 
+#include "core/configuration/chain_commits.hpp"
+#include "core/configuration/chain_peers.hpp"
+#include "core/configuration/chain_platform.hpp"
+
+#include <algorithm>
+
 namespace cyclamenhold
 {
 
+platform_call& add_chain_call(
+    chain_state& state, platform_client client, platform_operation operation,
+    const chain_call& purpose, control_actions& actions)
+{
+    platform_call call;
+    call.client = client;
+    call.call_id = state.next_call++;
+    call.operation = operation;
+    state.calls[call.call_id] = purpose;
+    actions.platform_calls.push_back(std::move(call));
+    return actions.platform_calls.back();
+}
+
 void chain_start(
-    chain_state& state, const chain_settings& settings, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+    chain_state& state, const chain_settings& settings, time_point now,
+    random_source& random, control_actions& /*actions*/)
 {
     state.settings = settings;
+    state.applied_at = now;
+    state.last_tick = now;
+    start_watch(state, now, random);
 }
 
 void chain_tick(
-    chain_state& /*state*/, const membership_state& /*members*/,
-    time_point /*now*/, random_source& /*random*/, control_actions& /*actions*/)
+    chain_state& state, const membership_state& members, time_point now,
+    random_source& random, control_actions& actions)
 {
+    state.last_tick = now;
+    advance_watch(state, members, now, random, actions);
+    advance_upkeep(state, members, now, random, actions);
+    advance_commits(state, now, actions);
+    pull_if_behind(state, members, now, random, actions);
+    tell_peers(state, members, random, actions);
 }
 
 void chain_on_message(
-    chain_state& /*state*/, const membership_state& /*members*/,
-    const incoming_message& /*message*/, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+    chain_state& state, const membership_state& members,
+    const incoming_message& message, time_point now, random_source& random,
+    control_actions& actions)
 {
+    const auto decoded = decode_chain_message(message.payload);
+    if (!decoded.has_value())
+    {
+        event happened;
+        happened.kind = event_kind::bad_input;
+        happened.peer = message.from;
+        happened.detail = "configuration message";
+        actions.events.push_back(std::move(happened));
+        return;
+    }
+    take_chain_message(
+        state, members, message.from, *decoded, now, random, actions);
 }
 
 void chain_on_platform_reply(
-    chain_state& /*state*/, const membership_state& /*members*/,
-    const platform_reply& /*reply*/, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+    chain_state& state, const membership_state& members,
+    const platform_reply& reply, time_point now, random_source& random,
+    control_actions& actions)
 {
+    const auto found = state.calls.find(reply.call_id);
+    if (found == state.calls.end())
+    {
+        return;
+    }
+    const chain_call call = found->second;
+    state.calls.erase(found);
+    switch (call.kind)
+    {
+    case chain_call_kind::read_change:
+    case chain_call_kind::watch:
+    case chain_call_kind::read_snapshot_head:
+    case chain_call_kind::read_snapshot_part:
+        take_watch_reply(state, call, reply, now, random, actions);
+        break;
+    case chain_call_kind::check_snapshot_head:
+    case chain_call_kind::write_snapshot_part:
+    case chain_call_kind::write_snapshot_head:
+    case chain_call_kind::find_obsolete:
+    case chain_call_kind::delete_obsolete:
+        take_upkeep_reply(state, call, reply, now, random, actions);
+        break;
+    case chain_call_kind::commit_check:
+    case chain_call_kind::commit_write:
+        take_commit_reply(state, call, reply, now, random, actions);
+        break;
+    }
+    tell_peers(state, members, random, actions);
 }
 
-time_point chain_due(const chain_state& /*state*/)
+time_point chain_due(const chain_state& state)
 {
-    return time_point::max();
+    time_point due = std::min(watch_due(state), commits_due(state));
+    if (state.told_revision < state.current->revision)
+    {
+        due = std::min(due, state.last_tick);
+    }
+    return due;
 }
 
 void chain_commit(
-    chain_state& state, commit_token token, std::uint64_t /*base_revision*/,
-    const std::string& /*operation_id*/, const std::string& /*operations*/,
-    time_point /*now*/, random_source& /*random*/, control_actions& /*actions*/)
+    chain_state& state, commit_token token, std::uint64_t base_revision,
+    const std::string& operation_id, const std::string& operations,
+    time_point now, random_source& /*random*/, control_actions& actions)
+{
+    start_commit(
+        state, token, {base_revision + 1, operation_id, 0, operations}, now,
+        actions);
+}
+
+void share_with_members(const chain_state& state, membership_state& members)
 {
-    state.results.push_back(
-        {token, commit_status::unknown, 0, "no platform client yet"});
+    members.own_revision = state.current->revision;
+    members.platform_read_at =
+        std::max(members.platform_read_at, state.platform_read_at);
 }
 
 } // namespace cyclamenhold
--- /dev/null
+++ b/src/core/intent/json_reader.hpp
@@ -0,0 +1,60 @@
+// Reads the fields of JSON objects, and collects what is wrong with them,
+// each with its JSON pointer.
+#pragma once
+
+#include "core/base/findings.hpp"
+
+#include <array>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <boost/json.hpp>
+
+namespace cyclamenhold
+{
+
+// One object under reading. Fields that nobody asked for are findings too.
+struct json_reader
+{
+    const boost::json::object* object = nullptr;
+    // The JSON pointer to the object.
+    std::string place;
+    findings* found = nullptr;
+    std::set<std::string, std::less<>> read;
+};
+
+struct number_range
+{
+    double lowest = 0.0;
+    double highest = 0.0;
+    // The lowest value itself is outside.
+    bool above_lowest = false;
+};
+
+// Parses a text whose root is an object; a finding otherwise.
+[[nodiscard]] bool parse_json_object(
+    std::string_view text, boost::json::value& value, findings& found);
+
+[[nodiscard]] std::string
+json_place(const json_reader& reader, std::string_view field);
+
+// The value of a field; a finding when it must be there and is not.
+[[nodiscard]] const boost::json::value*
+read_field(json_reader& reader, std::string_view field, bool required);
+
+[[nodiscard]] std::string
+read_string(json_reader& reader, std::string_view field, bool required = true);
+[[nodiscard]] double read_number(
+    json_reader& reader, std::string_view field, const number_range& range);
+[[nodiscard]] std::uint64_t read_integer(
+    json_reader& reader, std::string_view field, std::uint64_t lowest,
+    std::uint64_t highest, std::uint64_t otherwise);
+[[nodiscard]] bool
+read_flag(json_reader& reader, std::string_view field, bool otherwise);
+
+// Reports the fields that were not read.
+void finish_reading(json_reader& reader);
+
+} // namespace cyclamenhold
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -69,6 +69,13 @@
 {
     for (const auto& contact : message.contacts)
     {
+        const time_point heard_at =
+            now - std::chrono::milliseconds(contact.age_ms);
+        if (contact.data_centre == data_centre_id::none)
+        {
+            state.platform_read_at = std::max(state.platform_read_at, heard_at);
+            continue;
+        }
         if (contact.data_centre == state.settings.data_centre)
         {
             continue;
@@ -76,9 +83,7 @@
         const auto found = state.data_centres.find(contact.data_centre);
         if (found != state.data_centres.end())
         {
-            found->second.heard_at = std::max(
-                found->second.heard_at,
-                now - std::chrono::milliseconds(contact.age_ms));
+            found->second.heard_at = std::max(found->second.heard_at, heard_at);
         }
     }
 }
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -185,6 +185,9 @@
     // The configuration revision in force here; set by the owner, told with
     // each message.
     std::uint64_t own_revision = 0;
+    // When any node, as far as heard, last read the newest revision from the
+    // platform; the zero point when never.
+    time_point platform_read_at{};
     // The highest revision heard of, and a member that has it.
     std::uint64_t highest_revision = 0;
     host_id highest_revision_host = host_id::none;
--- a/src/core/membership/sending.cpp
+++ b/src/core/membership/sending.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace cyclamenhold
@@ -13,6 +14,8 @@
 
 // Added to the age of a contact on each hop, for the time it travelled.
 constexpr duration contact_hop_time = 50ms;
+constexpr std::int64_t longest_age_ms =
+    std::numeric_limits<std::uint32_t>::max();
 // How many messages of a data centre a round sends to other data centres,
 // about, once all of its members know the news.
 constexpr double far_messages_a_round = 24.0;
@@ -120,13 +123,21 @@
     {
         return message;
     }
-    for (const auto& [id, link] : state.data_centres)
+    const auto add_contact = [&](data_centre_id id, time_point heard_at)
     {
-        const auto age =
-            to_milliseconds(now - link.heard_at + contact_hop_time);
+        const auto age = to_milliseconds(now - heard_at + contact_hop_time);
         message.contacts.push_back(
-            {id, static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-                     age, 0, std::numeric_limits<std::uint32_t>::max()))});
+            {id, static_cast<std::uint32_t>(
+                     std::clamp<std::int64_t>(age, 0, longest_age_ms))});
+    };
+    for (const auto& [id, link] : state.data_centres)
+    {
+        add_contact(id, link.heard_at);
+    }
+    if (state.platform_read_at != time_point{})
+    {
+        // Stands for the platform.
+        add_contact(data_centre_id::none, state.platform_read_at);
     }
     return message;
 }
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -37,7 +37,7 @@
     random_source& random, control_actions& actions)
 {
     state.wall_clock_ms = wall_clock_ms;
-    state.membership.own_revision = state.chain.current->revision;
+    share_with_members(state.chain, state.membership);
     membership_tick(state.membership, now, random, actions);
     chain_tick(state.chain, state.membership, now, random, actions);
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -212,7 +212,7 @@
             node.events.push_back(std::move(happened));
         }
     }
-    node.membership->own_revision = node.chain->current->revision;
+    share_with_members(*node.chain, *node.membership);
     schedule_wake(fleet, place);
 }
 
