Share out workspace rates by weights, pledges and loans

Cause: every node refused, since nothing told it what it may admit. Change: a roster per data centre in the platform, joined by batched compare-and-swap; weights of 1/N that are pledged to a steward a shard; stewards lend tokens to hosts and to each other's data centres, counted from asking by receivers and from answering by givers. Requests wait for a loan. rate_limiter gains lots, waiters, on_waiting; rates_settings gains loan_term, data_centre_loan_term, removal_time; rates_office is there for claims. Conclusion: works without faults; faults are not driven yet.

--- /dev/null
+++ b/src/core/rates/lending.cpp
@@ -0,0 +1,243 @@
+#include "core/rates/lending.hpp"
+
+#include "core/rates/terms.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr double token_epsilon = 1e-9;
+constexpr double smallest_loan = 0.01;
+// A borrowed lot that ends sooner is not lent on.
+constexpr duration least_useful_term = 100ms;
+// A lender keeps what its own data centre used in this time.
+constexpr duration reserve_time = 100ms;
+constexpr duration rate_window = 200ms;
+constexpr duration unmet_time = 200ms;
+
+double own_lendable(const lender_bucket& bucket, const lending_limits& limits)
+{
+    const double room = limits.capacity_at_end - bucket.lent;
+    return std::max(0.0, std::min(bucket.tokens, room));
+}
+
+bool usable(const borrowed_lot& lot, time_point now)
+{
+    return !lot.closed && lot.tokens > 0.0 &&
+           lot.expires_at - now >= least_useful_term;
+}
+
+void sample_local_rate(lender_bucket& bucket, time_point now)
+{
+    const duration elapsed = now - bucket.rate_sampled_at;
+    if (elapsed < rate_window)
+    {
+        return;
+    }
+    const double rate = bucket.lent_since / to_seconds(elapsed);
+    bucket.local_rate = 0.5 * bucket.local_rate + 0.5 * rate;
+    bucket.lent_since = 0.0;
+    bucket.rate_sampled_at = now;
+}
+
+borrowed_lot* find_lot(lender_bucket& bucket, std::uint64_t loan)
+{
+    const auto found =
+        std::ranges::find(bucket.lots, loan, &borrowed_lot::loan);
+    return found == bucket.lots.end() ? nullptr : &*found;
+}
+
+// Moves `resolved` of a loan's tokens out of "lent": borrowed parts first.
+// Used tokens are gone; the others go back to where they came from.
+void resolve(
+    lender_bucket& bucket, loan_record& record, double resolved, bool were_used)
+{
+    for (auto& [loan, amount] : record.borrowed)
+    {
+        const double part = std::min(amount, resolved);
+        amount -= part;
+        resolved -= part;
+        borrowed_lot* const lot = find_lot(bucket, loan);
+        if (lot == nullptr)
+        {
+            continue;
+        }
+        lot->lent_on = std::max(0.0, lot->lent_on - part);
+        (were_used ? lot->used : lot->tokens) += part;
+    }
+    const double part = std::min(record.own, resolved);
+    record.own -= part;
+    bucket.lent = std::max(0.0, bucket.lent - part);
+    if (!were_used)
+    {
+        bucket.tokens += part;
+    }
+}
+
+double unresolved(const loan_record& record)
+{
+    double amount = record.own;
+    for (const auto& part : record.borrowed)
+    {
+        amount += part.amount;
+    }
+    return amount;
+}
+
+} // namespace
+
+void refill_lender(
+    lender_bucket& bucket, const lending_limits& limits, time_point now)
+{
+    if (now > bucket.refilled_at)
+    {
+        bucket.tokens += tokens_earned(limits.rate, now - bucket.refilled_at);
+        bucket.refilled_at = now;
+    }
+    bucket.tokens =
+        std::max(0.0, std::min(bucket.tokens, limits.capacity - bucket.lent));
+    sample_local_rate(bucket, now);
+}
+
+loan_offer lend_to_host(
+    lender_bucket& bucket, const lending_limits& limits, host_id to,
+    std::uint64_t loan, double wanted, duration term, time_point now)
+{
+    refill_lender(bucket, limits, now);
+    const double amount = std::floor(
+        std::min(std::ceil(wanted), lendable(bucket, limits, now)) +
+        token_epsilon);
+    if (amount < wanted)
+    {
+        bucket.unmet[to] = {wanted - amount, now};
+    }
+    else
+    {
+        bucket.unmet.erase(to);
+    }
+    if (amount < 1.0)
+    {
+        return {};
+    }
+    loan_record record{to, amount, 0.0, {}, 0.0, now + giver_term(term)};
+    duration offered = term;
+    double left = amount;
+    for (auto& lot : bucket.lots)
+    {
+        if (left <= 0.0 || !usable(lot, now))
+        {
+            continue;
+        }
+        const double part = std::min(left, lot.tokens);
+        lot.tokens -= part;
+        lot.lent_on += part;
+        left -= part;
+        record.borrowed.push_back({lot.loan, part});
+        offered = std::min(offered, receiver_term(lot.expires_at - now));
+    }
+    record.own = std::max(0.0, left);
+    bucket.tokens = std::max(0.0, bucket.tokens - record.own);
+    bucket.lent += record.own;
+    bucket.lent_since += amount;
+    bucket.loans.emplace(loan, std::move(record));
+    return {amount, offered};
+}
+
+loan_offer lend_to_data_centre(
+    lender_bucket& bucket, const lending_limits& limits, host_id to,
+    std::uint64_t loan, double wanted, duration term, time_point now)
+{
+    refill_lender(bucket, limits, now);
+    const double reserve = bucket.local_rate * to_seconds(reserve_time);
+    const double amount =
+        std::min(wanted, own_lendable(bucket, limits) - reserve);
+    if (amount < smallest_loan || unmet_wants(bucket, now) > 0.0)
+    {
+        return {};
+    }
+    bucket.tokens -= amount;
+    bucket.lent += amount;
+    bucket.loans.emplace(
+        loan, loan_record{to, amount, amount, {}, 0.0, now + giver_term(term)});
+    return {amount, term};
+}
+
+void settle_loan(
+    lender_bucket& bucket, host_id from, std::uint64_t loan, double used,
+    bool closed)
+{
+    const auto found = bucket.loans.find(loan);
+    if (found == bucket.loans.end() || found->second.to != from)
+    {
+        return;
+    }
+    loan_record& record = found->second;
+    used = std::clamp(used, record.used, record.amount);
+    resolve(bucket, record, used - record.used, true);
+    record.used = used;
+    if (closed)
+    {
+        resolve(bucket, record, unresolved(record), false);
+        bucket.loans.erase(found);
+    }
+}
+
+void expire_loans(
+    lender_bucket& bucket, time_point close_before, time_point now)
+{
+    for (auto entry = bucket.loans.begin(); entry != bucket.loans.end();)
+    {
+        if (entry->second.ends_at > now)
+        {
+            ++entry;
+            continue;
+        }
+        resolve(bucket, entry->second, unresolved(entry->second), true);
+        entry = bucket.loans.erase(entry);
+    }
+    std::erase_if(
+        bucket.lots,
+        [now](const borrowed_lot& lot)
+        {
+            return lot.expires_at <= now;
+        });
+    for (auto& lot : bucket.lots)
+    {
+        const bool done =
+            lot.tokens <= token_epsilon || lot.expires_at < close_before;
+        lot.closed = lot.closed || (done && lot.lent_on <= token_epsilon);
+    }
+}
+
+double lendable(
+    const lender_bucket& bucket, const lending_limits& limits, time_point now)
+{
+    double amount = own_lendable(bucket, limits);
+    for (const auto& lot : bucket.lots)
+    {
+        amount += usable(lot, now) ? lot.tokens : 0.0;
+    }
+    return amount;
+}
+
+double unmet_wants(lender_bucket& bucket, time_point now)
+{
+    double amount = 0.0;
+    for (auto entry = bucket.unmet.begin(); entry != bucket.unmet.end();)
+    {
+        if (entry->second.at + unmet_time <= now)
+        {
+            entry = bucket.unmet.erase(entry);
+            continue;
+        }
+        amount += entry->second.amount;
+        ++entry;
+    }
+    return amount;
+}
+
+} // namespace cyclamenhold
--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -1,5 +1,7 @@
 #include "core/rates/rate_limiter.hpp"
 
+#include "core/rates/terms.hpp"
+
 #include <algorithm>
 
 namespace cyclamenhold
@@ -7,48 +9,267 @@
 namespace
 {
 
+// Rounding may leave a whole token this much short.
+constexpr double token_epsilon = 1e-9;
+
 void refill(token_bucket& bucket, time_point now)
 {
-    const double elapsed = to_seconds(now - bucket.refilled_at);
+    if (now >= bucket.valid_until)
+    {
+        bucket.tokens = 0.0;
+        bucket.refilled_at = std::max(bucket.refilled_at, now);
+        return;
+    }
+    if (now <= bucket.refilled_at)
+    {
+        return;
+    }
+    bucket.tokens = std::min(
+        bucket.capacity,
+        bucket.tokens + tokens_earned(bucket.rate, now - bucket.refilled_at));
     bucket.refilled_at = now;
-    bucket.tokens =
-        std::min(bucket.capacity, bucket.tokens + elapsed * bucket.rate);
+}
+
+bool take_one(token_bucket& bucket, time_point now)
+{
+    for (auto& lot : bucket.lots)
+    {
+        if (!lot.closed && now < lot.expires_at &&
+            lot.tokens >= 1.0 - token_epsilon)
+        {
+            lot.tokens = std::max(0.0, lot.tokens - 1.0);
+            lot.used += 1.0;
+            bucket.admitted += 1.0;
+            return true;
+        }
+    }
+    refill(bucket, now);
+    if (bucket.tokens < 1.0 - token_epsilon)
+    {
+        return false;
+    }
+    bucket.tokens = std::max(0.0, bucket.tokens - 1.0);
+    bucket.admitted += 1.0;
+    return true;
+}
+
+duration expected_wait(const token_bucket& bucket)
+{
+    if (bucket.rate <= 0.0)
+    {
+        return 1s;
+    }
+    return std::clamp(
+        from_seconds((1.0 - bucket.tokens) / bucket.rate), duration(10ms),
+        duration(10s));
 }
 
 } // namespace
 
 token_answer take_token(
-    rate_limiter& limiter, workspace_id workspace, token_waiter /*waiter*/,
-    time_point /*wait_until*/, time_point now)
+    rate_limiter& limiter, workspace_id workspace, token_waiter waiter,
+    time_point wait_until, time_point now)
+{
+    {
+        const std::scoped_lock lock(limiter.mutex);
+        const auto found = limiter.buckets.find(workspace);
+        if (found == limiter.buckets.end())
+        {
+            return {token_verdict::refused, 1s};
+        }
+        token_bucket& bucket = found->second;
+        bucket.arrivals += 1.0;
+        if (bucket.waiters.empty() && take_one(bucket, now))
+        {
+            return {token_verdict::admitted, {}};
+        }
+        wait_until = std::min(wait_until, now + max_token_wait);
+        if (wait_until <= now || bucket.waiters.size() >= max_waiters)
+        {
+            return {token_verdict::refused, expected_wait(bucket)};
+        }
+        bucket.waiters.push_back({waiter, wait_until});
+    }
+    if (limiter.on_waiting)
+    {
+        limiter.on_waiting();
+    }
+    return {token_verdict::waiting, {}};
+}
+
+void cancel_wait(
+    rate_limiter& limiter, workspace_id workspace, token_waiter waiter)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    if (const auto found = limiter.buckets.find(workspace);
+        found != limiter.buckets.end())
+    {
+        std::erase_if(
+            found->second.waiters,
+            [waiter](const waiting_request& request)
+            {
+                return request.waiter == waiter;
+            });
+    }
+}
+
+token_results settle_waiters(rate_limiter& limiter, time_point now)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    token_results results;
+    results.expired.swap(limiter.orphans);
+    for (auto& [workspace, bucket] : limiter.buckets)
+    {
+        std::deque<waiting_request> kept;
+        for (const auto& request : bucket.waiters)
+        {
+            if (request.wait_until <= now)
+            {
+                results.expired.push_back(request.waiter);
+            }
+            else if (kept.empty() && take_one(bucket, now))
+            {
+                results.admitted.push_back(request.waiter);
+            }
+            else
+            {
+                kept.push_back(request);
+            }
+        }
+        bucket.waiters.swap(kept);
+    }
+    return results;
+}
+
+void limit_workspaces(
+    rate_limiter& limiter, const std::vector<workspace_id>& workspaces,
+    time_point now)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    for (const workspace_id workspace : workspaces)
+    {
+        if (const auto [entry, added] = limiter.buckets.try_emplace(workspace);
+            added)
+        {
+            entry->second.refilled_at = now;
+        }
+    }
+    for (auto entry = limiter.buckets.begin(); entry != limiter.buckets.end();)
+    {
+        if (std::ranges::find(workspaces, entry->first) != workspaces.end())
+        {
+            ++entry;
+            continue;
+        }
+        for (const auto& request : entry->second.waiters)
+        {
+            limiter.orphans.push_back(request.waiter);
+        }
+        entry = limiter.buckets.erase(entry);
+    }
+}
+
+void set_own_allowance(
+    rate_limiter& limiter, workspace_id workspace,
+    const own_allowance& allowance, time_point now)
 {
     const std::scoped_lock lock(limiter.mutex);
     const auto found = limiter.buckets.find(workspace);
     if (found == limiter.buckets.end())
     {
-        return {token_verdict::refused, 1s};
+        return;
     }
     token_bucket& bucket = found->second;
     refill(bucket, now);
-    if (bucket.tokens >= 1.0)
+    bucket.rate = allowance.rate;
+    bucket.capacity = allowance.capacity;
+    bucket.valid_until = allowance.valid_until;
+    bucket.tokens = std::min(bucket.tokens, bucket.capacity);
+}
+
+void add_lot(rate_limiter& limiter, workspace_id workspace, token_lot lot)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    if (const auto found = limiter.buckets.find(workspace);
+        found != limiter.buckets.end())
     {
-        bucket.tokens -= 1.0;
-        return {token_verdict::admitted, {}};
+        found->second.lots.push_back(lot);
     }
-    const double missing = 1.0 - bucket.tokens;
-    return {
-        token_verdict::refused,
-        bucket.rate > 0.0 ? from_seconds(missing / bucket.rate) : duration(1s)};
 }
 
-void cancel_wait(
-    rate_limiter& /*limiter*/, workspace_id /*workspace*/,
-    token_waiter /*waiter*/)
+token_demand
+sample_demand(rate_limiter& limiter, workspace_id workspace, time_point now)
 {
+    const std::scoped_lock lock(limiter.mutex);
+    token_demand demand;
+    const auto found = limiter.buckets.find(workspace);
+    if (found == limiter.buckets.end())
+    {
+        return demand;
+    }
+    token_bucket& bucket = found->second;
+    refill(bucket, now);
+    demand.waiting = static_cast<double>(bucket.waiters.size());
+    demand.available = bucket.tokens;
+    for (const auto& lot : bucket.lots)
+    {
+        if (!lot.closed && now < lot.expires_at)
+        {
+            demand.available += lot.tokens;
+        }
+    }
+    demand.arrivals = bucket.arrivals;
+    bucket.arrivals = 0.0;
+    return demand;
+}
+
+std::vector<lot_report> report_lots(
+    rate_limiter& limiter, workspace_id workspace, time_point close_before,
+    time_point now)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    std::vector<lot_report> reports;
+    const auto found = limiter.buckets.find(workspace);
+    if (found == limiter.buckets.end())
+    {
+        return reports;
+    }
+    auto& lots = found->second.lots;
+    std::erase_if(
+        lots,
+        [now](const token_lot& lot)
+        {
+            return lot.expires_at <= now;
+        });
+    for (auto& lot : lots)
+    {
+        if (lot.tokens < 1.0 - token_epsilon || lot.expires_at < close_before)
+        {
+            lot.closed = true;
+        }
+        if (lot.closed || lot.used > lot.reported_used)
+        {
+            reports.push_back({lot.loan, lot.lender, lot.used, lot.closed});
+            lot.reported_used = lot.used;
+        }
+    }
+    return reports;
 }
 
-token_results settle_waiters(rate_limiter& /*limiter*/, time_point /*now*/)
+void forget_lot(
+    rate_limiter& limiter, workspace_id workspace, std::uint64_t loan)
 {
-    return {};
+    const std::scoped_lock lock(limiter.mutex);
+    if (const auto found = limiter.buckets.find(workspace);
+        found != limiter.buckets.end())
+    {
+        std::erase_if(
+            found->second.lots,
+            [loan](const token_lot& lot)
+            {
+                return lot.loan == loan && lot.closed;
+            });
+    }
 }
 
 } // namespace cyclamenhold
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -6,10 +6,14 @@
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
 
+#include <atomic>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -22,7 +26,7 @@
 enum class token_verdict : std::uint8_t
 {
     admitted,
-    // The waiter will be in a later result of take_admitted or take_expired.
+    // The waiter will be in a later result of settle_waiters.
     waiting,
     refused
 };
@@ -34,22 +38,60 @@
     duration retry_after{};
 };
 
+// Tokens lent to this node by a steward. Unused ones end with the loan.
+struct token_lot
+{
+    std::uint64_t loan = 0;
+    host_id lender = host_id::none;
+    double tokens = 0.0;
+    double used = 0.0;
+    // Counted from when this node asked.
+    time_point expires_at{};
+    // What the lender was last told.
+    double reported_used = 0.0;
+    bool closed = false;
+};
+
+struct waiting_request
+{
+    token_waiter waiter = 0;
+    time_point wait_until{};
+};
+
 struct token_bucket
 {
+    // The node's own weight: tokens, tokens a second and most tokens. Usable
+    // until `valid_until`, which is checked at each use, so that a node that
+    // was paused cannot use a weight it has lost meanwhile.
     double tokens = 0.0;
-    // Tokens a second that this node may admit by itself.
     double rate = 0.0;
     double capacity = 0.0;
     time_point refilled_at{};
+    time_point valid_until = time_point::min();
+    std::vector<token_lot> lots;
+    std::deque<waiting_request> waiters;
+    // Requests that asked for a token since the control thread last looked.
+    double arrivals = 0.0;
+    double admitted = 0.0;
 };
 
 struct rate_limiter
 {
     std::mutex mutex;
     std::unordered_map<workspace_id, token_bucket> buckets;
+    // Waiters of workspaces that have been deleted.
+    std::vector<token_waiter> orphans;
+    // Called without the mutex when a request began to wait; the adapter
+    // lets the control thread tick soon. Set before the first request.
+    std::function<void()> on_waiting;
 };
 
-// Takes one token of the workspace, or waits for one until `wait_until`.
+// The longest that a request waits for a token, so that time is left to run.
+constexpr duration max_token_wait = 500ms;
+constexpr std::size_t max_waiters = 512;
+
+// Takes one token of the workspace, or waits for one until `wait_until` and
+// at most for max_token_wait.
 [[nodiscard]] token_answer take_token(
     rate_limiter& limiter, workspace_id workspace, token_waiter waiter,
     time_point wait_until, time_point now);
@@ -69,4 +111,58 @@
 [[nodiscard]] token_results
 settle_waiters(rate_limiter& limiter, time_point now);
 
+// The functions below are the control thread's.
+
+// Keeps a bucket for each of these workspaces and drops all others.
+void limit_workspaces(
+    rate_limiter& limiter, const std::vector<workspace_id>& workspaces,
+    time_point now);
+
+// What the node's own weight is worth from now on. A weight given away is a
+// rate and capacity of zero.
+struct own_allowance
+{
+    double rate = 0.0;
+    double capacity = 0.0;
+    time_point valid_until = time_point::min();
+};
+
+void set_own_allowance(
+    rate_limiter& limiter, workspace_id workspace,
+    const own_allowance& allowance, time_point now);
+
+void add_lot(rate_limiter& limiter, workspace_id workspace, token_lot lot);
+
+// What the control thread needs to know to ask ahead.
+struct token_demand
+{
+    double waiting = 0.0;
+    double available = 0.0;
+    // Since the last call.
+    double arrivals = 0.0;
+};
+
+[[nodiscard]] token_demand
+sample_demand(rate_limiter& limiter, workspace_id workspace, time_point now);
+
+// A lot whose lender has something new to learn.
+struct lot_report
+{
+    std::uint64_t loan = 0;
+    host_id lender = host_id::none;
+    double used = 0.0;
+    bool closed = false;
+};
+
+// Closes lots that are used up or that end before `close_before`, drops those
+// that have ended, and returns all lots whose state the lender was not told
+// and all closed ones.
+[[nodiscard]] std::vector<lot_report> report_lots(
+    rate_limiter& limiter, workspace_id workspace, time_point close_before,
+    time_point now);
+
+// The lender has taken in a report of a closed lot.
+void forget_lot(
+    rate_limiter& limiter, workspace_id workspace, std::uint64_t loan);
+
 } // namespace cyclamenhold
--- a/src/core/rates/rates.hpp
+++ b/src/core/rates/rates.hpp
@@ -6,10 +6,15 @@
 #include "core/base/random.hpp"
 #include "core/configuration/model.hpp"
 #include "core/membership/membership.hpp"
+#include "core/rates/loans.hpp"
+#include "core/rates/pledges.hpp"
 #include "core/rates/rate_limiter.hpp"
+#include "core/rates/roster_keeping.hpp"
 #include "ports/control_actions.hpp"
 
 #include <cstdint>
+#include <deque>
+#include <vector>
 
 namespace cyclamenhold
 {
@@ -18,8 +23,14 @@
 {
     host_id self = host_id::none;
     data_centre_id data_centre = data_centre_id::none;
-    // How long a pledge or a loan lasts.
+    // How long a pledge lasts.
     duration term = 5s;
+    // How long a loan to a host lasts, and one to another data centre.
+    duration loan_term = 1s;
+    duration data_centre_loan_term = 2s;
+    // A host silent for so long may be removed from the roster; one without
+    // contact for half of it stops using its weight.
+    duration removal_time = 60s;
 };
 
 // What the other subsystems know; read at each call.
@@ -33,6 +44,17 @@
 struct rates_state
 {
     rates_settings settings;
+    roster_state hosts;
+    pledge_state pledges;
+    loan_state loans;
+    // The revision whose workspaces the limiter and the shares are set to.
+    std::uint64_t revision = 0;
+    double share = 0.0;
+    time_point last_tick_at{};
+    bool leaving = false;
+    std::map<workspace_id, workspace> workspaces;
+    // Encoded messages to this host itself, handled before a call returns.
+    std::deque<std::vector<std::uint8_t>> local;
 };
 
 void rates_start(
@@ -48,6 +70,9 @@
 void rates_on_platform_reply(
     rates_state& state, const rates_inputs& inputs, const platform_reply& reply,
     time_point now, random_source& random, control_actions& actions);
+
+// When rates_tick is due next. After the limiter's `on_waiting` it is due at
+// once.
 [[nodiscard]] time_point rates_due(const rates_state& state);
 
 // Hands back loans and stewardship before a planned stop.
@@ -55,4 +80,9 @@
     rates_state& state, const rates_inputs& inputs, time_point now,
     random_source& random, control_actions& actions);
 
+// For claims: the office of a shard, with epoch 0 unless this host holds the
+// pledges of more than half of the roster at this moment.
+[[nodiscard]] steward_office
+rates_office(const rates_state& state, std::uint32_t shard, time_point now);
+
 } // namespace cyclamenhold
--- /dev/null
+++ b/src/core/rates/step.hpp
@@ -0,0 +1,73 @@
+// What the parts of the rates subsystem are handed while one event is handled.
+#pragma once
+
+#include "core/rates/rates.hpp"
+#include "wire/generated/rates_generated.h"
+
+namespace cyclamenhold
+{
+
+struct rates_step
+{
+    rates_state& state;
+    const rates_inputs& inputs;
+    time_point now;
+    random_source& random;
+    control_actions& actions;
+};
+
+// Sends a message; one to this host itself is handled before the event ends.
+void send_rates(rates_step& step, host_id to, wire::rates::bodyUnion body);
+
+template <class Message>
+void send_rates_message(rates_step& step, host_id to, Message message)
+{
+    wire::rates::bodyUnion body;
+    body.Set(std::move(message));
+    send_rates(step, to, std::move(body));
+}
+
+[[nodiscard]] inline std::uint64_t to_wire(host_id host)
+{
+    return static_cast<std::uint64_t>(host);
+}
+
+[[nodiscard]] inline std::uint64_t to_microseconds(duration value)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(value).count());
+}
+
+// Longer terms are cut: a message cannot make anything last for ever.
+[[nodiscard]] inline duration from_microseconds(std::uint64_t value)
+{
+    constexpr std::uint64_t longest = 3'600'000'000;
+    return std::chrono::microseconds(std::min(value, longest));
+}
+
+// Takes in epochs that a message tells of.
+void note_epochs(
+    rates_step& step, host_id from,
+    const std::vector<wire::rates::shard_epoch>& epochs, bool from_steward);
+
+// Handlers of the messages, by the part that owns them.
+void on_roster_query(
+    rates_step& step, host_id from, const wire::rates::roster_query_data& in);
+void on_roster_answer(
+    rates_step& step, host_id from, const wire::rates::roster_answer_data& in);
+void on_removal_query(
+    rates_step& step, host_id from, const wire::rates::removal_query_data& in);
+void on_removal_answer(
+    rates_step& step, host_id from, const wire::rates::removal_answer_data& in);
+void on_pledge_request(
+    rates_step& step, host_id from, const wire::rates::pledge_request_data& in);
+void on_pledge_reply(
+    rates_step& step, host_id from, const wire::rates::pledge_reply_data& in);
+void on_pledge_release(
+    rates_step& step, host_id from, const wire::rates::pledge_release_data& in);
+void on_loan_request(
+    rates_step& step, host_id from, const wire::rates::loan_request_data& in);
+void on_loan_reply(
+    rates_step& step, host_id from, const wire::rates::loan_reply_data& in);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/core/rates_test.cpp
@@ -0,0 +1,130 @@
+#include "support/virtual_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+using namespace testing_support;
+
+const workspace_id school = workspace_id_of("school");
+
+// A fleet of the given options with one workspace, its oracle set.
+std::unique_ptr<virtual_fleet>
+make_fleet(const fleet_options& options, double rate, double burst)
+{
+    auto fleet = std::make_unique<virtual_fleet>(options);
+    fleet->settings = std::make_shared<const configuration>(
+        rates_configuration(options, rate, burst));
+    fleet->oracles[school].rate = rate;
+    fleet->oracles[school].burst = burst;
+    return fleet;
+}
+
+// Requests arrive evenly for `time` at the nodes that `chosen` picks in turn.
+template <class Chooser>
+void offer_load(
+    virtual_fleet& fleet, double rate, duration time, Chooser chosen)
+{
+    const time_point end = fleet.now() + time;
+    std::uint64_t number = 0;
+    while (fleet.now() < end)
+    {
+        fleet.offer(chosen(number++), school, 2s);
+        fleet.run_for(from_seconds(1.0 / rate));
+    }
+    fleet.run_for(1s);
+}
+
+virtual_node& node_at(virtual_fleet& fleet, std::size_t number)
+{
+    auto entry = fleet.nodes.begin();
+    std::advance(entry, number % fleet.nodes.size());
+    return *entry->second;
+}
+
+double served_part(const rate_oracle& oracle)
+{
+    return static_cast<double>(oracle.admitted) /
+           static_cast<double>(oracle.offered);
+}
+
+TEST(rates, even_and_skewed_demand_inside_the_rate)
+{
+    fleet_options options;
+    const auto fleet = make_fleet(options, 120.0, 24.0);
+    rate_oracle& oracle = fleet->oracles[school];
+    fleet->start_all();
+    {
+        SCOPED_TRACE("a fresh fleet admits within two seconds of its start");
+        offer_load(
+            *fleet, 50.0, 2s,
+            [&fleet](std::uint64_t number) -> virtual_node&
+            {
+                return node_at(*fleet, number);
+            });
+        EXPECT_GT(oracle.admitted, 0U);
+    }
+    fleet->run_for(3s);
+    struct demand_case
+    {
+        const char* name;
+        std::function<std::size_t(std::uint64_t)> node;
+    };
+    const demand_case cases[] = {
+        {"evenly over all nodes",
+         [](std::uint64_t number)
+         {
+             return number;
+         }},
+        {"all at one node",
+         [](std::uint64_t)
+         {
+             return std::size_t{5};
+         }},
+        {"all in one data centre",
+         [](std::uint64_t number)
+         {
+             return number % 4;
+         }},
+    };
+    for (const auto& [name, node] : cases)
+    {
+        SCOPED_TRACE(name);
+        oracle.offered = oracle.admitted = oracle.refused = 0;
+        offer_load(
+            *fleet, 110.0, 10s,
+            [&fleet, &node = node](std::uint64_t number) -> virtual_node&
+            {
+                return node_at(*fleet, node(number));
+            });
+        std::printf(
+            "%s: offered %llu admitted %llu\n", name,
+            static_cast<unsigned long long>(oracle.offered),
+            static_cast<unsigned long long>(oracle.admitted));
+        EXPECT_GT(served_part(oracle), 0.99);
+    }
+    {
+        SCOPED_TRACE("ten times the rate gets the rate and no more");
+        oracle.offered = oracle.admitted = oracle.refused = 0;
+        offer_load(
+            *fleet, 1200.0, 10s,
+            [&fleet](std::uint64_t number) -> virtual_node&
+            {
+                return node_at(*fleet, number);
+            });
+        std::printf(
+            "overload admitted %llu\n",
+            static_cast<unsigned long long>(oracle.admitted));
+        EXPECT_GT(static_cast<double>(oracle.admitted), 120.0 * 10.0 * 0.9);
+    }
+    EXPECT_LE(oracle.highest_excess, 1e-6);
+}
+
+} // namespace
+} // namespace cyclamenhold
