Claim never-repeat requests at the steward of the key's shard

Cause: every claim was answered unavailable, so no such route could run. Change: the holder of the pledges of more than half of the roster keeps the claims of a shard; tickets name its epoch, UUIDv7 keys carry their time, other keys wait out one retention; what it cannot know is answered unknown. Lost answers end as unavailable with a withdrawal; completions are resent until acknowledged. claims_settings gains question_time.

--- a/src/core/claims/claims.cpp
+++ b/src/core/claims/claims.cpp
@@ -1,60 +1,146 @@
 #include "core/claims/claims.hpp"
 
+#include "core/claims/key.hpp"
+#include "core/claims/step.hpp"
+
+#include <algorithm>
+
 namespace cyclamenhold
 {
+namespace
+{
 
-void claims_start(
-    claims_state& state, const claims_settings& settings, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+namespace wire_claims = wire::claims;
+
+void dispatch(
+    claims_step& step, host_id from, const wire_claims::bodyUnion& body)
 {
-    state.settings = settings;
+    switch (body.type)
+    {
+    case wire_claims::body::question:
+        return on_claim_question(step, from, *body.Asquestion());
+    case wire_claims::body::answer:
+        return on_claim_answer(step, from, *body.Asanswer());
+    case wire_claims::body::completion:
+        return on_claim_completion(step, from, *body.Ascompletion());
+    case wire_claims::body::completion_ack:
+        return on_completion_ack(step, *body.Ascompletion_ack());
+    case wire_claims::body::NONE:
+        return;
+    }
 }
 
-void claims_tick(
-    claims_state& /*state*/, const claims_inputs& /*inputs*/,
-    time_point /*now*/, random_source& /*random*/, control_actions& /*actions*/)
+} // namespace
+
+void send_claims(claims_step& step, host_id to, wire_claims::bodyUnion body)
 {
+    if (to == step.state.settings.self)
+    {
+        dispatch(step, to, body);
+        return;
+    }
+    wire_claims::message_data message;
+    message.body = std::move(body);
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire_claims::message::Pack(builder, &message));
+    step.actions.messages.push_back(
+        {to,
+         message_kind::claims,
+         transport::stream,
+         {builder.GetBufferPointer(),
+          builder.GetBufferPointer() + builder.GetSize()}});
 }
 
-void claims_on_message(
-    claims_state& /*state*/, const claims_inputs& /*inputs*/,
-    const incoming_message& /*message*/, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+void claims_start(
+    claims_state& state, const claims_settings& settings, time_point /*now*/,
+    random_source& random, control_actions& /*actions*/)
 {
+    state.settings = settings;
+    state.last_sequence = random() >> 1;
 }
 
-time_point claims_due(const claims_state& /*state*/)
+void claims_tick(
+    claims_state& state, const claims_inputs& inputs, time_point now,
+    random_source& /*random*/, control_actions& actions)
 {
-    return time_point::max();
+    claims_step step{state, inputs, now, actions};
+    keep_records(step);
+    keep_questions(step);
+    keep_completions(step);
 }
 
-void claims_ask(
-    claims_state& state, const claims_inputs& /*inputs*/,
-    const claim_question& question, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+void claims_on_message(
+    claims_state& state, const claims_inputs& inputs,
+    const incoming_message& message, time_point now, random_source& /*random*/,
+    control_actions& actions)
 {
-    state.answers.push_back(
-        {question.token, claim_status::unavailable, {}, {}});
+    flatbuffers::Verifier verifier(
+        message.payload.data(), message.payload.size());
+    if (!wire_claims::VerifymessageBuffer(verifier))
+    {
+        actions.events.push_back(
+            {event_kind::bad_input,
+             {},
+             {},
+             message.from,
+             "malformed claims message"});
+        return;
+    }
+    claims_step step{state, inputs, now, actions};
+    const auto decoded = wire_claims::UnPackmessage(message.payload.data());
+    dispatch(step, message.from, decoded->body);
 }
 
-void claims_complete(
-    claims_state& /*state*/, const claims_inputs& /*inputs*/,
-    const claim_completion& /*completion*/, time_point /*now*/,
-    random_source& /*random*/, control_actions& /*actions*/)
+time_point claims_due(const claims_state& state)
 {
+    time_point due = state.next_cleanup_at;
+    for (const auto& [token, pending] : state.questions)
+    {
+        due = std::min({due, pending.next_send_at, pending.give_up_at});
+    }
+    for (const auto& [sequence, pending] : state.completions)
+    {
+        due = std::min(due, pending.next_send_at);
+    }
+    return due;
 }
 
 std::string claims_issue_ticket(
-    claims_state& /*state*/, const claims_inputs& /*inputs*/,
-    random_source& /*random*/)
+    claims_state& state, const claims_inputs& inputs, random_source& random)
 {
-    return {};
+    const auto& heard = inputs.rates.pledges.heard;
+    std::vector<std::uint32_t> shards;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        if (heard[shard].epoch != 0 && heard[shard].steward != host_id::none)
+        {
+            shards.push_back(shard);
+        }
+    }
+    if (shards.empty())
+    {
+        return {};
+    }
+    const std::uint32_t shard = shards[random_below(random, shards.size())];
+    return to_string(claim_ticket{
+        state.settings.data_centre, shard, heard[shard].epoch,
+        heard[shard].generation, random()});
 }
 
 bool claims_accept_at_gate(
-    claims_state& /*state*/, const claim_grant& grant, time_point now)
+    claims_state& state, const claim_grant& grant, time_point now)
 {
-    return grant.steward_epoch == 0 || now < grant.valid_until;
+    if (grant.steward_epoch == 0)
+    {
+        return true;
+    }
+    std::uint64_t& newest = state.gate_epochs[claim_scope(grant.claim_id)];
+    if (grant.steward_epoch < newest || now >= grant.valid_until)
+    {
+        return false;
+    }
+    newest = grant.steward_epoch;
+    return true;
 }
 
 } // namespace cyclamenhold
--- a/src/core/claims/claims.hpp
+++ b/src/core/claims/claims.hpp
@@ -4,11 +4,15 @@
 
 #include "core/base/random.hpp"
 #include "core/claims/claim.hpp"
+#include "core/claims/records.hpp"
 #include "core/membership/membership.hpp"
 #include "core/rates/rates.hpp"
 #include "ports/control_actions.hpp"
 
+#include <array>
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +27,8 @@
     duration retention = 600s;
     // How long a claim may be used after it was granted.
     duration claim_term = 30s;
+    // How long a question is asked before it is answered `unavailable`.
+    duration question_time = 2s;
 };
 
 struct claims_inputs
@@ -34,11 +40,54 @@
     std::uint64_t wall_clock_ms = 0;
 };
 
+// A question of this node that has no answer yet.
+struct pending_question
+{
+    claim_question question;
+    // Of the first time it was sent, from which the claim's term counts.
+    time_point first_asked_at{};
+    time_point next_send_at{};
+    time_point give_up_at{};
+    std::set<host_id> asked;
+};
+
+// A completion or withdrawal that the steward has not acknowledged.
+struct pending_completion
+{
+    host_id steward = host_id::none;
+    claim_completion completion;
+    // For a withdrawal, which has no claim.
+    claim_token token = 0;
+    time_point next_send_at{};
+    duration interval{};
+    time_point give_up_at{};
+};
+
+// A claim this node was granted, until its request ends.
+struct held_claim
+{
+    host_id steward = host_id::none;
+    time_point valid_until{};
+};
+
 struct claims_state
 {
     claims_settings settings;
     // Answers to questions of this node, to be taken by the caller.
     std::vector<claim_answer> answers;
+    // What follows is used by the claims code only.
+    std::map<claim_token, pending_question> questions;
+    std::map<std::uint64_t, pending_completion> completions;
+    std::uint64_t last_sequence = 0;
+    // By epoch and claim id.
+    std::map<std::uint64_t, std::map<std::uint64_t, held_claim>> held;
+    std::array<claim_records, shard_count> records;
+    // The data centres that keys are hashed over, and since when.
+    std::uint64_t homes_digest = 0;
+    time_point homes_since = time_point::min();
+    time_point next_cleanup_at{};
+    // The newest epoch the last gate has seen of each data centre and shard.
+    std::map<std::uint64_t, std::uint64_t> gate_epochs;
 };
 
 void claims_start(
@@ -53,13 +102,15 @@
     control_actions& actions);
 [[nodiscard]] time_point claims_due(const claims_state& state);
 
-// Asks for a claim; the answer appears in `state.answers`.
+// Asks for a claim; the answer appears in `state.answers`, at once when this
+// node is the steward.
 void claims_ask(
     claims_state& state, const claims_inputs& inputs,
     const claim_question& question, time_point now, random_source& random,
     control_actions& actions);
 
-// Reports how a claimed request ended.
+// Reports how a claimed request ended. `not_run` may only be reported when
+// the claim will not be used any more.
 void claims_complete(
     claims_state& state, const claims_inputs& inputs,
     const claim_completion& completion, time_point now, random_source& random,
--- a/src/core/rates/pledges.cpp
+++ b/src/core/rates/pledges.cpp
@@ -15,7 +15,6 @@
 
 constexpr duration quick_round_interval = 250ms;
 constexpr std::size_t rounds_kept = 16;
-constexpr duration generation_time = 600s;
 // The low bits of an epoch are random, the others come from the wall clock.
 constexpr unsigned epoch_random_bits = 20;
 
@@ -149,7 +148,7 @@
     const steward_office present = office_of(state, shard, step.now);
     if (present.epoch != 0)
     {
-        if (step.now - office.generation_since >= generation_time)
+        if (step.now - office.generation_since >= claim_generation_time)
         {
             ++office.generation;
             office.generation_since = step.now;
--- a/src/core/rates/pledges.hpp
+++ b/src/core/rates/pledges.hpp
@@ -42,6 +42,9 @@
     time_point valid_until{};
 };
 
+// An office's generation lasts so long.
+constexpr duration claim_generation_time = 600s;
+
 // The right to claim: held while more than half of the roster pledge.
 struct steward_office
 {
