Keep request threads running without connections

Cause: the second request thread ended at once, since its context had no work yet; connections given to it hung (seen in a two-node run: no answer within 10 s).

--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -350,6 +350,8 @@
         node.running.emplace_back(
             [&io = thread->io]
             {
+                // A thread without connections waits for its first one.
+                const auto work = asio::make_work_guard(io);
                 io.run();
             });
     }
--- a/src/adapters/operators_api.cpp
+++ b/src/adapters/operators_api.cpp
@@ -1,9 +1,14 @@
 #include "adapters/operators_api.hpp"
 
 #include "adapters/clock.hpp"
+#include "adapters/peer_handshake.hpp"
+#include "core/intent/configuration_json.hpp"
+#include "core/intent/plan.hpp"
 
 #include <boost/json.hpp>
 
+#include <absl/strings/escaping.h>
+
 namespace cyclamenhold
 {
 namespace
@@ -30,6 +35,7 @@
             {"host", to_string(host)},
             {"state", name_of(member.state)},
             {"incarnation", member.host_incarnation},
+            {"revision", member.revision},
             {"service", member.upstream.service},
             {"upstream", name_of(member.upstream.state)}});
     }
@@ -55,6 +61,105 @@
             {"members", members_json(loop.state.membership)}});
 }
 
+json::value findings_json(const findings& found)
+{
+    json::array list;
+    for (const auto& [place, message] : found)
+    {
+        list.push_back(json::object{{"place", place}, {"message", message}});
+    }
+    return json::object{{"findings", list}};
+}
+
+std::string new_operation_id()
+{
+    const handshake_nonce random = make_nonce();
+    constexpr std::size_t id_bytes = 16;
+    return absl::BytesToHexString(absl::string_view(
+        reinterpret_cast<const char*>(random.data()), id_bytes));
+}
+
+operator_reply plan_reply(const operators_api& api, const std::string& body)
+{
+    const control_loop& loop = *api.control;
+    const auto [found, made, diff] = plan_change(
+        *loop.state.chain.current, body, new_operation_id(), wall_clock_ms());
+    if (!found.empty())
+    {
+        return json_reply(422, findings_json(found));
+    }
+    return json_reply(
+        200, json::object{
+                 {"plan", seal_plan(made, loop.services.fleet_secret)},
+                 {"base_revision", made.base_revision},
+                 {"diff", json::value_from(diff)}});
+}
+
+operator_reply commit_reply(const commit_result& result)
+{
+    switch (result.status)
+    {
+    case commit_status::committed:
+        return json_reply(200, json::object{{"revision", result.revision}});
+    case commit_status::conflict:
+        return json_reply(
+            409, json::object{
+                     {"message", "another change got in between; plan again"},
+                     {"revision", result.revision},
+                     {"changes", json::array{result.detail}}});
+    case commit_status::invalid:
+        return message_reply(422, result.detail);
+    case commit_status::unknown:
+        break;
+    }
+    return message_reply(
+        503, "the platform did not answer; confirming again is safe");
+}
+
+// The token of {"plan": "..."}; empty when there is none.
+std::string plan_token(const std::string& body)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    if (error || !value.is_object())
+    {
+        return {};
+    }
+    const auto* const token = value.as_object().if_contains("plan");
+    if (token == nullptr || !token->is_string())
+    {
+        return {};
+    }
+    return std::string(token->as_string());
+}
+
+void confirm_plan(
+    const operators_api& api, const std::string& body, operator_callback done)
+{
+    control_loop& loop = *api.control;
+    const std::string token = plan_token(body);
+    if (token.empty())
+    {
+        done(json_reply(
+            422, findings_json({{"/plan", "must be the text of a plan"}})));
+        return;
+    }
+    const auto opened =
+        open_plan(token, loop.services.fleet_secret, wall_clock_ms());
+    if (!opened.ok())
+    {
+        const std::string message(opened.status().message());
+        done(json_reply(422, findings_json({{"/plan", message}})));
+        return;
+    }
+    commit_change(
+        loop, opened->base_revision, opened->operation_id, opened->operations,
+        [done = std::move(done)](const commit_result& result)
+        {
+            done(commit_reply(result));
+        });
+}
+
 } // namespace
 
 void handle_operator_request(
@@ -66,6 +171,22 @@
         done(status_reply(api));
         return;
     }
+    if (get && request.target == "/v1/configuration")
+    {
+        done(
+            json_reply(200, to_json_object(*api.control->state.chain.current)));
+        return;
+    }
+    if (request.method == "POST" && request.target == "/v1/intents")
+    {
+        done(plan_reply(api, request.body));
+        return;
+    }
+    if (request.method == "POST" && request.target == "/v1/plans/confirm")
+    {
+        confirm_plan(api, request.body, std::move(done));
+        return;
+    }
     if (get && request.target == "/metrics")
     {
         done({200, "text/plain; version=0.0.4", api.metrics()});
