Add cyclamen-load and the experiments' core

Cause: the overload policy is judged by experiments that must be open loop, repeatable and bounded. Change: scenarios with all findings reported together, arrivals from a fixed seed, figures, table, JSON, CSV and SVG as pure code; cyclamen-load sends the calls, switches the stand-ins' faults and reads their counters; a mode compares latencies straight and through nodes. Conclusion: the tool is built; no load was sent yet.

--- /dev/null
+++ b/src/apps/cyclamen-load/caller.cpp
@@ -0,0 +1,228 @@
+#include "caller.hpp"
+
+#include "adapters/clock.hpp"
+#include "adapters/http_client.hpp"
+#include "core/base/random.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include <xxhash.h>
+
+namespace cyclamenhold
+{
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view checksum_header = "Cyclamen-Checksum";
+
+// One thread's part of the load.
+struct caller
+{
+    caller(
+        const scenario& what, const fleet& where, time_point when,
+        std::uint64_t seed)
+        : plan(what), processes(where), start(when), random(seed)
+    {
+        for (const auto& target : processes.targets)
+        {
+            pools.push_back(std::make_unique<http_pool>(
+                context.get_executor(), target, plan.connections));
+        }
+    }
+
+    const scenario& plan;
+    const fleet& processes;
+    time_point start;
+    asio::io_context context{1};
+    random_source random;
+    std::vector<std::unique_ptr<http_pool>> pools;
+    std::vector<arrival> arrivals;
+    std::vector<call_record> records;
+};
+
+// A UUID of version 7: the time, and random bits.
+std::string make_uuid(random_source& random)
+{
+    const std::uint64_t time_bits = wall_clock_ms() & 0xffffffffffffULL;
+    const std::uint64_t high = (time_bits << 16) | 0x7000 | (random() & 0x0fff);
+    const std::uint64_t low =
+        (random() & 0x3fffffffffffffffULL) | 0x8000000000000000ULL;
+    std::array<char, 37> text{};
+    std::snprintf(
+        text.data(), text.size(), "%08x-%04x-%04x-%04x-%012llx",
+        static_cast<unsigned>(high >> 32),
+        static_cast<unsigned>(high >> 16) & 0xffffU,
+        static_cast<unsigned>(high) & 0xffffU, static_cast<unsigned>(low >> 48),
+        static_cast<unsigned long long>(low & 0xffffffffffffULL));
+    return text.data();
+}
+
+http_call make_call(caller& from, const arrival& what, std::size_t index)
+{
+    const scenario_route& route = from.plan.routes[what.route];
+    const scenario_workspace& workspace = from.plan.workspaces[what.workspace];
+    http_call call;
+    call.method = route.method;
+    call.target = route.path + "?marker=" + std::to_string(from.plan.seed) +
+                  "-" + std::to_string(index);
+    if (route.reply_bytes > 0)
+    {
+        call.target += "&reply_bytes=" + std::to_string(route.reply_bytes);
+    }
+    if (const auto key = from.processes.keys.find(workspace.name);
+        key != from.processes.keys.end())
+    {
+        call.headers.push_back({"Authorization", "Bearer " + key->second});
+    }
+    if (route.never_repeat)
+    {
+        call.headers.push_back({"Idempotency-Key", make_uuid(from.random)});
+    }
+    call.headers.push_back(
+        {"Cyclamen-Deadline-Ms", std::to_string(static_cast<std::uint64_t>(
+                                     from.plan.timeout_s * 1000.0))});
+    // Unlike the body of any other call, so that a crossed reply shows.
+    call.body = call.target;
+    call.body.resize(
+        std::max<std::size_t>(call.body.size(), route.body_bytes), '.');
+    call.timeout = from_seconds(from.plan.timeout_s);
+    return call;
+}
+
+bool is_whole(
+    const scenario_route& route, const http_result& result,
+    const std::string& sent_body)
+{
+    if (result.status != http_call_status::answered ||
+        result.http_status != 200)
+    {
+        return false;
+    }
+    if (route.reply_bytes > 0 && result.body_bytes != route.reply_bytes)
+    {
+        return false;
+    }
+    constexpr std::size_t echoed_size = 64 * 1024;
+    if (route.reply_bytes == 0 && sent_body.size() <= echoed_size &&
+        result.body != sent_body)
+    {
+        return false;
+    }
+    std::array<char, 17> checksum{};
+    std::snprintf(
+        checksum.data(), checksum.size(), "%016llx",
+        static_cast<unsigned long long>(result.body_hash));
+    return header_value(result.headers, checksum_header) == checksum.data();
+}
+
+asio::awaitable<void> wait_until(time_point at)
+{
+    auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, at);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+// The caller gives up re-sending when the answer says that it may have run
+// and must not run twice; the same key is used for all attempts.
+asio::awaitable<void> run_call(caller& from, std::size_t index)
+{
+    const arrival& what = from.arrivals[index];
+    const scenario_route& route = from.plan.routes[what.route];
+    call_record record;
+    record.workspace = what.workspace;
+    record.route = what.route;
+    record.at_s = what.at_s;
+    const http_call call = make_call(from, what, index);
+    for (std::uint32_t attempt = 0; attempt <= from.plan.retries.attempts;
+         ++attempt)
+    {
+        if (attempt > 0)
+        {
+            // Half to one and a half times the delay.
+            const double share = 0.5 + random_fraction(from.random);
+            co_await wait_until(
+                now() + from_seconds(share * from.plan.retries.delay_s));
+        }
+        const auto pool_index = random_below(from.random, from.pools.size());
+        http_call copy = call;
+        ++record.attempts;
+        const http_result result =
+            co_await http_send(*from.pools[pool_index], std::move(copy));
+        record.status = result.http_status;
+        record.result = value_named<outcome>(
+                            header_value(result.headers, "Cyclamen-Outcome"))
+                            .value_or(outcome::unknown);
+        record.whole = is_whole(route, result, call.body);
+        if (record.whole ||
+            (route.never_repeat && record.result != outcome::not_run))
+        {
+            break;
+        }
+    }
+    record.done_s = to_seconds(now() - from.start);
+    from.records.push_back(record);
+}
+
+asio::awaitable<void> run_arrivals(caller& from)
+{
+    for (std::size_t index = 0; index < from.arrivals.size(); ++index)
+    {
+        co_await wait_until(
+            from.start + from_seconds(from.arrivals[index].at_s));
+        asio::co_spawn(from.context, run_call(from, index), asio::detached);
+    }
+}
+
+void run_caller(caller& from)
+{
+    asio::co_spawn(from.context, run_arrivals(from), asio::detached);
+    // Ends when the last call is over; each is bounded by its timeouts.
+    from.context.run();
+}
+
+} // namespace
+
+std::vector<call_record> send_calls(
+    const scenario& plan, const fleet& processes,
+    const std::vector<arrival>& arrivals, time_point start)
+{
+    std::vector<std::unique_ptr<caller>> callers;
+    for (std::uint32_t index = 0; index < plan.threads; ++index)
+    {
+        callers.push_back(std::make_unique<caller>(
+            plan, processes, start, plan.seed + index));
+    }
+    for (std::size_t index = 0; index < arrivals.size(); ++index)
+    {
+        callers[index % callers.size()]->arrivals.push_back(arrivals[index]);
+    }
+    std::vector<std::thread> threads;
+    for (const auto& from : callers)
+    {
+        threads.emplace_back(run_caller, std::ref(*from));
+    }
+    std::vector<call_record> records;
+    for (std::size_t index = 0; index < callers.size(); ++index)
+    {
+        threads[index].join();
+        const auto& part = callers[index]->records;
+        records.insert(records.end(), part.begin(), part.end());
+    }
+    return records;
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/apps/cyclamen-load/fleet.hpp
@@ -0,0 +1,43 @@
+// The running processes that a load is sent to.
+#pragma once
+
+#include "core/base/findings.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct fleet_upstream
+{
+    std::string service;
+    std::string data_centre;
+    boost::asio::ip::tcp::endpoint control;
+};
+
+struct fleet
+{
+    // Where callers connect.
+    std::vector<boost::asio::ip::tcp::endpoint> targets;
+    // By workspace.
+    std::map<std::string, std::string> keys;
+    std::vector<fleet_upstream> upstreams;
+    std::optional<boost::asio::ip::tcp::endpoint> platform;
+};
+
+// Parses the description of a fleet; any address but a loopback one is a
+// finding.
+[[nodiscard]] fleet parse_fleet(std::string_view text, findings& found);
+
+// Parses an address and refuses any but a loopback one.
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint>
+parse_loopback_endpoint(
+    const std::string& text, const std::string& place, findings& found);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/apps/cyclamen-load/latency_comparison.hpp
@@ -0,0 +1,52 @@
+// Measures what nodes add to a call: the same calls in turn straight to an
+// upstream and through the nodes, in one run.
+#pragma once
+
+#include "core/base/time.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct comparison_settings
+{
+    boost::asio::ip::tcp::endpoint direct;
+    boost::asio::ip::tcp::endpoint through;
+    std::string target = "/";
+    // The key sent through the nodes; none when empty.
+    std::string key;
+    std::uint64_t body_bytes = 200;
+    // Calls a second, half of them each way.
+    double rate = 1'000.0;
+    double duration_s = 10.0;
+    double warm_up_s = 2.0;
+    std::uint64_t seed = 1;
+};
+
+// Of one way; latencies in milliseconds.
+struct way_figures
+{
+    std::uint64_t calls = 0;
+    std::uint64_t failed = 0;
+    double p50_ms = 0.0;
+    double p99_ms = 0.0;
+};
+
+struct comparison_figures
+{
+    way_figures direct;
+    way_figures through;
+};
+
+[[nodiscard]] comparison_figures
+compare_latency(const comparison_settings& settings);
+
+[[nodiscard]] std::string
+to_json(const comparison_settings& settings, const comparison_figures& figures);
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/experiment/json_reader.hpp
@@ -0,0 +1,57 @@
+// Reads members of JSON objects and collects what is wrong with them, each
+// with its JSON pointer.
+#pragma once
+
+#include "core/base/findings.hpp"
+
+#include <boost/json.hpp>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+// Parses JSON with comments; nullopt and a finding when it is none.
+[[nodiscard]] std::optional<boost::json::value>
+parse_json_with_comments(std::string_view text, findings& found);
+
+class json_reader
+{
+public:
+    // A value that is no object gives a finding and reads as an empty one.
+    json_reader(
+        const boost::json::value& value, std::string pointer, findings& found);
+
+    // Each returns `otherwise` when the member is absent or wrong.
+    [[nodiscard]] std::string
+    text(std::string_view name, std::string otherwise = {});
+    [[nodiscard]] std::string required_text(std::string_view name);
+    [[nodiscard]] double
+    number(std::string_view name, double otherwise, double least, double most);
+    [[nodiscard]] bool flag(std::string_view name, bool otherwise);
+    [[nodiscard]] std::vector<std::string> texts(std::string_view name);
+    [[nodiscard]] std::vector<double> numbers(std::string_view name);
+    // The serialized object, "{}" when it is absent.
+    [[nodiscard]] std::string object_text(std::string_view name);
+    // A reader for each element of an array of objects.
+    [[nodiscard]] std::vector<json_reader> objects(std::string_view name);
+    [[nodiscard]] std::optional<json_reader> object(std::string_view name);
+
+    void add(std::string_view name, std::string message);
+    // Adds a finding for each member that was never read.
+    void reject_unknown();
+
+private:
+    const boost::json::value* member(std::string_view name);
+
+    const boost::json::object* object_ = nullptr;
+    std::string pointer_;
+    findings* found_;
+    std::set<std::string, std::less<>> known_;
+};
+
+} // namespace cyclamenhold
--- a/tests/adapters/standin_upstream_test.cpp
+++ b/tests/adapters/standin_upstream_test.cpp
@@ -173,6 +173,7 @@
     upstream_fixture fixture(settings);
     std::vector<std::shared_ptr<std::optional<http_result>>> calls;
     http_call call;
+    calls.reserve(3);
     for (int index = 0; index < 3; ++index)
     {
         calls.push_back(fixture.start(fixture.pool, call));
--- a/tools/cyclamen-standin-upstream/upstream_state.cpp
+++ b/tools/cyclamen-standin-upstream/upstream_state.cpp
@@ -47,10 +47,10 @@
 } // namespace
 
 upstream_state::upstream_state(
-    boost::asio::io_context& context_, const upstream_settings& settings_)
-    : context(context_),
-      settings(settings_),
-      random(settings_.seed),
+    boost::asio::io_context& on, const upstream_settings& with)
+    : context(on),
+      settings(with),
+      random(with.seed),
       started_at(now()),
       last_request_at(started_at)
 {
--- a/tools/cyclamen-standin-upstream/upstream_state.hpp
+++ b/tools/cyclamen-standin-upstream/upstream_state.hpp
@@ -74,8 +74,7 @@
 
 struct upstream_state
 {
-    upstream_state(
-        boost::asio::io_context& context_, const upstream_settings& settings_);
+    upstream_state(boost::asio::io_context& on, const upstream_settings& with);
 
     boost::asio::io_context& context;
     upstream_settings settings;
