--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <cstdio>
 #include <optional>
 #include <utility>
 
@@ -228,6 +229,15 @@
         pool, std::move(connection), std::move(call), deadline);
 }
 
+std::string checksum_text(std::uint64_t hash)
+{
+    std::array<char, 17> text{};
+    std::snprintf(
+        text.data(), text.size(), "%016llx",
+        static_cast<unsigned long long>(hash));
+    return text.data();
+}
+
 std::string_view
 header_value(const std::vector<http_header>& headers, std::string_view name)
 {
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -82,6 +82,9 @@
 [[nodiscard]] boost::asio::awaitable<http_result>
 http_send(http_pool& pool, http_call call);
 
+// A checksum as it stands in headers: 16 hexadecimal digits.
+[[nodiscard]] std::string checksum_text(std::uint64_t hash);
+
 // The value of the first header with this name in any case, or "".
 [[nodiscard]] std::string_view
 header_value(const std::vector<http_header>& headers, std::string_view name);
--- a/src/adapters/json_server.cpp
+++ b/src/adapters/json_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/json.hpp>
 
 #include <memory>
 #include <utility>
@@ -120,6 +121,13 @@
 
 } // namespace
 
+json_reply json_error(unsigned status, std::string_view message)
+{
+    boost::json::object object;
+    object["error"] = boost::json::string_view(message.data(), message.size());
+    return {status, boost::json::serialize(object), false};
+}
+
 absl::StatusOr<tcp::endpoint> start_json_server(
     const asio::any_io_executor& executor, const tcp::endpoint& endpoint,
     json_handler handler)
--- a/src/adapters/json_server.hpp
+++ b/src/adapters/json_server.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace cyclamenhold
 {
@@ -30,6 +31,9 @@
     bool drop = false;
 };
 
+// An answer whose body is {"error": message}.
+[[nodiscard]] json_reply json_error(unsigned status, std::string_view message);
+
 using json_handler =
     std::function<boost::asio::awaitable<json_reply>(json_request)>;
 
--- a/src/apps/cyclamen-load/caller.cpp
+++ b/src/apps/cyclamen-load/caller.cpp
@@ -18,8 +18,6 @@
 #include <optional>
 #include <thread>
 
-#include <xxhash.h>
-
 namespace cyclamenhold
 {
 namespace asio = boost::asio;
@@ -37,11 +35,21 @@
         std::uint64_t seed)
         : plan(what), processes(where), start(when), random(seed)
     {
-        for (const auto& target : processes.targets)
+        for (const target_group& group : processes.groups)
         {
-            pools.push_back(std::make_unique<http_pool>(
+            add_pools(group);
+        }
+    }
+
+    void add_pools(const target_group& group)
+    {
+        std::vector<std::unique_ptr<http_pool>> list;
+        for (const auto& target : group.targets)
+        {
+            list.push_back(std::make_unique<http_pool>(
                 context.get_executor(), target, plan.connections));
         }
+        pools.push_back(std::move(list));
     }
 
     const scenario& plan;
@@ -49,11 +57,27 @@
     time_point start;
     asio::io_context context{1};
     random_source random;
-    std::vector<std::unique_ptr<http_pool>> pools;
+    // By the fleet's groups, and in each by its targets.
+    std::vector<std::vector<std::unique_ptr<http_pool>>> pools;
     std::vector<arrival> arrivals;
     std::vector<call_record> records;
 };
 
+// Any target of the first group that fits the path; null without one.
+http_pool* choose_pool(caller& from, std::string_view path)
+{
+    const auto& groups = from.processes.groups;
+    for (std::size_t index = 0; index < groups.size(); ++index)
+    {
+        const auto& pools = from.pools[index];
+        if (path.starts_with(groups[index].path_prefix) && !pools.empty())
+        {
+            return pools[random_below(from.random, pools.size())].get();
+        }
+    }
+    return nullptr;
+}
+
 // A UUID of version 7: the time, and random bits.
 std::string make_uuid(random_source& random)
 {
@@ -122,11 +146,8 @@
     {
         return false;
     }
-    std::array<char, 17> checksum{};
-    std::snprintf(
-        checksum.data(), checksum.size(), "%016llx",
-        static_cast<unsigned long long>(result.body_hash));
-    return header_value(result.headers, checksum_header) == checksum.data();
+    return header_value(result.headers, checksum_header) ==
+           checksum_text(result.body_hash);
 }
 
 asio::awaitable<void> wait_until(time_point at)
@@ -157,11 +178,14 @@
             co_await wait_until(
                 now() + from_seconds(share * from.plan.retries.delay_s));
         }
-        const auto pool_index = random_below(from.random, from.pools.size());
+        http_pool* const pool = choose_pool(from, route.path);
+        if (pool == nullptr)
+        {
+            break;
+        }
         http_call copy = call;
         ++record.attempts;
-        const http_result result =
-            co_await http_send(*from.pools[pool_index], std::move(copy));
+        const http_result result = co_await http_send(*pool, std::move(copy));
         record.status = result.http_status;
         record.result = value_named<outcome>(
                             header_value(result.headers, "Cyclamen-Outcome"))
@@ -211,6 +235,7 @@
         callers[index % callers.size()]->arrivals.push_back(arrivals[index]);
     }
     std::vector<std::thread> threads;
+    threads.reserve(callers.size());
     for (const auto& from : callers)
     {
         threads.emplace_back(run_caller, std::ref(*from));
--- a/src/apps/cyclamen-load/command_line.cpp
+++ b/src/apps/cyclamen-load/command_line.cpp
@@ -69,7 +69,10 @@
 {
     for (const auto& [place, message] : inside)
     {
-        add_finding(found, path + " " + place, message);
+        std::string whole_place = path;
+        whole_place += ' ';
+        whole_place += place;
+        add_finding(found, std::move(whole_place), message);
     }
 }
 
--- a/src/apps/cyclamen-load/fleet.cpp
+++ b/src/apps/cyclamen-load/fleet.cpp
@@ -27,22 +27,41 @@
 namespace
 {
 
-void read_targets(json_reader& reader, fleet& processes, findings& found)
+target_group
+read_group(json_reader& reader, const std::string& place, findings& found)
 {
+    target_group group;
+    group.path_prefix = reader.text("path_prefix");
     std::size_t index = 0;
     for (const std::string& text : reader.texts("targets"))
     {
         const auto endpoint = parse_loopback_endpoint(
-            text, "/targets/" + std::to_string(index++), found);
+            text, place + "/targets/" + std::to_string(index++), found);
         if (endpoint)
         {
-            processes.targets.push_back(*endpoint);
+            group.targets.push_back(*endpoint);
         }
     }
     if (index == 0)
     {
         reader.add("targets", "must not be empty");
     }
+    reader.reject_unknown();
+    return group;
+}
+
+void read_groups(json_reader& reader, fleet& processes, findings& found)
+{
+    std::size_t index = 0;
+    for (json_reader& item : reader.objects("groups"))
+    {
+        const std::string place = "/groups/" + std::to_string(index++);
+        processes.groups.push_back(read_group(item, place, found));
+    }
+    if (index == 0)
+    {
+        reader.add("groups", "must not be empty");
+    }
 }
 
 void read_upstreams(json_reader& reader, fleet& processes, findings& found)
@@ -96,7 +115,7 @@
         return processes;
     }
     json_reader reader(*value, "", found);
-    read_targets(reader, processes, found);
+    read_groups(reader, processes, found);
     read_upstreams(reader, processes, found);
     read_keys(reader, processes, found);
     const std::string platform = reader.text("platform");
--- a/src/apps/cyclamen-load/fleet.hpp
+++ b/src/apps/cyclamen-load/fleet.hpp
@@ -21,10 +21,17 @@
     boost::asio::ip::tcp::endpoint control;
 };
 
-struct fleet
+// Where callers send the paths with a prefix.
+struct target_group
 {
-    // Where callers connect.
+    std::string path_prefix;
     std::vector<boost::asio::ip::tcp::endpoint> targets;
+};
+
+struct fleet
+{
+    // The first one that fits a path is used.
+    std::vector<target_group> groups;
     // By workspace.
     std::map<std::string, std::string> keys;
     std::vector<fleet_upstream> upstreams;
--- a/tools/cyclamen-standin-platform/platform_server.cpp
+++ b/tools/cyclamen-standin-platform/platform_server.cpp
@@ -74,13 +74,6 @@
         });
 }
 
-json_reply error_reply(unsigned status, std::string_view message)
-{
-    json::object object;
-    object["error"] = json::string_view(message.data(), message.size());
-    return {status, json::serialize(object), false};
-}
-
 asio::awaitable<json_reply>
 serve_call(server_pointer server, platform_call call)
 {
@@ -194,7 +187,7 @@
         json::parse(json::string_view(body.data(), body.size()), error);
     if (error || !value.is_object())
     {
-        return error_reply(400, "the body must be a JSON object");
+        return json_error(400, "the body must be a JSON object");
     }
     store_faults changed = server.store.faults;
     findings found;
@@ -209,7 +202,7 @@
     }
     if (!found.empty())
     {
-        return error_reply(400, to_string(found));
+        return json_error(400, to_string(found));
     }
     server.store.faults = changed;
     return show_faults(changed);
@@ -234,7 +227,7 @@
     }
     if (request.method != "POST")
     {
-        co_return error_reply(405, "method not allowed");
+        co_return json_error(405, "method not allowed");
     }
     const auto call = decode_platform_call(request.target, request.body);
     if (!call.ok())
@@ -242,7 +235,7 @@
         const unsigned status =
             call.status().code() == absl::StatusCode::kNotFound ? 404 : 400;
         const auto text = call.status().message();
-        co_return error_reply(
+        co_return json_error(
             status, std::string_view(text.data(), text.size()));
     }
     co_return co_await serve_call(server, *call);
--- a/tools/cyclamen-standin-upstream/control_port.cpp
+++ b/tools/cyclamen-standin-upstream/control_port.cpp
@@ -19,13 +19,6 @@
 namespace
 {
 
-json_reply error_reply(unsigned status, std::string_view message)
-{
-    json::object object;
-    object["error"] = json::string_view(message.data(), message.size());
-    return {status, json::serialize(object), false};
-}
-
 json_reply show_ran(const upstream_state& upstream)
 {
     json::array list;
@@ -131,7 +124,7 @@
         json::parse(json::string_view(body.data(), body.size()), error);
     if (error || !value.is_object())
     {
-        return error_reply(400, "the body must be a JSON object");
+        return json_error(400, "the body must be a JSON object");
     }
     upstream_faults changed = upstream.faults;
     findings found;
@@ -152,7 +145,7 @@
     }
     if (!found.empty())
     {
-        return error_reply(400, to_string(found));
+        return json_error(400, to_string(found));
     }
     upstream.faults = changed;
     return {200, "{}", false};
@@ -177,7 +170,7 @@
     {
         return change_faults(upstream, request.body);
     }
-    return error_reply(404, "no such path");
+    return json_error(404, "no such path");
 }
 
 asio::awaitable<json_reply>
--- a/tools/cyclamen-standin-upstream/work.cpp
+++ b/tools/cyclamen-standin-upstream/work.cpp
@@ -10,9 +10,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace cyclamenhold
@@ -259,13 +257,4 @@
     return {};
 }
 
-std::string checksum_text(std::uint64_t hash)
-{
-    std::array<char, 17> text{};
-    std::snprintf(
-        text.data(), text.size(), "%016llx",
-        static_cast<unsigned long long>(hash));
-    return text.data();
-}
-
 } // namespace cyclamenhold
--- a/tools/cyclamen-standin-upstream/work.hpp
+++ b/tools/cyclamen-standin-upstream/work.hpp
@@ -53,7 +53,4 @@
 [[nodiscard]] std::string
 query_value(std::string_view query, std::string_view name);
 
-// 16 hexadecimal digits.
-[[nodiscard]] std::string checksum_text(std::uint64_t hash);
-
 } // namespace cyclamenhold
