--- /dev/null
+++ b/tests/support/virtual_baselines.hpp
@@ -0,0 +1,145 @@
+// The two policies that this project is compared with: straight to an upstream,
+// and a fixed concurrency limit with a first-come-first-served queue.
+#pragma once
+
+#include "support/virtual_calls.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+
+// Waiting requests for each slot under the fixed limit.
+constexpr std::size_t fixed_queue_factor = 2;
+
+// A random upstream in the data centre, or anywhere when there is none.
+inline std::size_t
+plain_upstream(virtual_fleet& fleet, std::size_t node, std::size_t service)
+{
+    std::vector<std::size_t> local;
+    std::vector<std::size_t> any;
+    for (std::size_t i = 0; i < fleet.hosts.size(); ++i)
+    {
+        const virtual_host& host = *fleet.hosts[i];
+        if (host.service != service || !host.alive)
+        {
+            continue;
+        }
+        any.push_back(i);
+        if (host.data_centre == fleet.hosts[node]->data_centre)
+        {
+            local.push_back(i);
+        }
+    }
+    const auto& choice = local.empty() ? any : local;
+    return choice[random_below(fleet.random, choice.size())];
+}
+
+inline void start_fixed(virtual_fleet& fleet, virtual_host& host)
+{
+    const auto limit = fleet.deployment.services[host.service].announced_slots;
+    while (!host.fixed_queue.empty() && host.fixed_running < limit)
+    {
+        const attempt_pointer attempt = host.fixed_queue.front();
+        host.fixed_queue.pop_front();
+        if (attempt->ended)
+        {
+            continue;
+        }
+        ++host.fixed_running;
+        start_at_upstream(fleet, host, attempt);
+    }
+}
+
+inline void refuse_plain(const attempt_pointer& attempt)
+{
+    attempt->ended = true;
+    attempt_result result;
+    result.status = attempt_status::refused;
+    result.http_status = 503;
+    attempt->done(result);
+}
+
+inline void arrive_plain(virtual_fleet& fleet, const attempt_pointer& attempt)
+{
+    virtual_host& host = *fleet.hosts[attempt->host];
+    const service_model& service = fleet.deployment.services[host.service];
+    ++fleet.result.attempts[host.service];
+    if (!host.alive)
+    {
+        refuse_plain(attempt);
+        return;
+    }
+    if (fleet.policy == overload_policy::pass_through)
+    {
+        const std::size_t open =
+            host.upstream.waiting.size() + host.upstream.busy;
+        if (open >= service.connections)
+        {
+            refuse_plain(attempt);
+            return;
+        }
+        start_at_upstream(fleet, host, attempt);
+        return;
+    }
+    if (host.fixed_queue.size() >= fixed_queue_factor * service.announced_slots)
+    {
+        refuse_plain(attempt);
+        return;
+    }
+    run_after(
+        fleet.clock, attempt->context.deadline - fleet.clock.now,
+        [&fleet, attempt]()
+        {
+            expire_attempt(fleet, attempt);
+        });
+    host.fixed_queue.push_back(attempt);
+    start_fixed(fleet, host);
+}
+
+inline void start_plain_call(
+    virtual_fleet& fleet, const plain_call& call,
+    std::function<void(bool)> done)
+{
+    const auto& chain = fleet.deployment.routes[call.route].chain;
+    const auto attempt = std::make_shared<virtual_attempt>();
+    attempt->host = plain_upstream(fleet, call.node, chain[call.position]);
+    attempt->ticket = fleet.next_id++;
+    attempt->context.deadline = call.deadline;
+    attempt->route = call.route;
+    attempt->position = call.position;
+    const auto waiting = std::make_shared<bool>(true);
+    const auto finish = [waiting, done = std::move(done)](bool ok)
+    {
+        if (std::exchange(*waiting, false))
+        {
+            done(ok);
+        }
+    };
+    const duration delay = delay_between(fleet, call.node, attempt->host);
+    attempt->done = [&fleet, finish, delay](const attempt_result& result)
+    {
+        const bool ok = result.status == attempt_status::replied &&
+                        result.http_status == 200;
+        run_after(
+            fleet.clock, delay,
+            [finish, ok]()
+            {
+                finish(ok);
+            });
+    };
+    run_after(
+        fleet.clock, call.deadline - fleet.clock.now,
+        [finish]()
+        {
+            finish(false);
+        });
+    run_after(
+        fleet.clock, delay,
+        [&fleet, attempt]()
+        {
+            arrive_plain(fleet, attempt);
+        });
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/support/virtual_calls.hpp
@@ -0,0 +1,339 @@
+// Calls through a virtual fleet: from the caller over nodes, gates and
+// upstreams to the deepest service and back.
+#pragma once
+
+#include "support/virtual_fleet.hpp"
+
+#include <cassert>
+#include <utility>
+
+namespace cyclamenhold
+{
+
+constexpr duration local_delay = 250us;
+constexpr duration remote_delay = 1ms;
+
+// One call at the node where it enters the system.
+struct virtual_call
+{
+    call_state state;
+    std::size_t node = 0;
+    std::size_t route = 0;
+    std::size_t position = 0;
+    std::function<void(bool)> done;
+};
+
+using call_pointer = std::shared_ptr<virtual_call>;
+
+// A call under one of the two policies that this project is compared with.
+struct plain_call
+{
+    std::size_t node = 0;
+    std::size_t route = 0;
+    std::size_t position = 0;
+    time_point deadline{};
+};
+
+void start_plain_call(
+    virtual_fleet& fleet, const plain_call& call,
+    std::function<void(bool)> done);
+void run_step(
+    virtual_fleet& fleet, const call_pointer& call, const call_step& step);
+void start_call(
+    virtual_fleet& fleet, std::size_t node, std::size_t route,
+    std::size_t position, const call_request& request,
+    std::function<void(bool)> done);
+
+inline duration
+delay_between(const virtual_fleet& fleet, std::size_t from, std::size_t to)
+{
+    return fleet.hosts[from]->data_centre == fleet.hosts[to]->data_centre
+               ? local_delay
+               : remote_delay;
+}
+
+void take_verdicts(
+    virtual_fleet& fleet, virtual_host& host, const gate_verdicts& verdicts);
+
+// For the fixed limit: starts what waits, first come first served.
+void start_fixed(virtual_fleet& fleet, virtual_host& host);
+
+// Ends an attempt at its host; the caller's node learns it after the delay
+// that `done` adds.
+inline void end_attempt(
+    virtual_fleet& fleet, const attempt_pointer& attempt, attempt_result result,
+    gate_result at_gate)
+{
+    if (attempt->ended)
+    {
+        return;
+    }
+    attempt->ended = true;
+    virtual_host& host = *fleet.hosts[attempt->host];
+    host.attempts.erase(attempt->ticket);
+    gate_verdicts verdicts;
+    if (attempt->started && fleet.policy == overload_policy::adaptive)
+    {
+        verdicts =
+            gate_finish(host.gate, attempt->ticket, at_gate, fleet.clock.now);
+    }
+    if (attempt->record)
+    {
+        result.returned_allowance = attempt->record->allowance.close();
+        result.load = gate_report(host.gate, fleet.clock.now);
+        result.load->downstream = attempt->record->downstream.read();
+    }
+    attempt->done(std::move(result));
+    take_verdicts(fleet, host, verdicts);
+    if (attempt->started && fleet.policy == overload_policy::fixed_limit)
+    {
+        --host.fixed_running;
+        start_fixed(fleet, host);
+    }
+}
+
+void serve_next(virtual_fleet& fleet, virtual_host& host);
+
+inline void release_slot(virtual_fleet& fleet, const attempt_pointer& attempt)
+{
+    virtual_host& host = *fleet.hosts[attempt->host];
+    if (std::exchange(attempt->in_slot, false))
+    {
+        --host.upstream.busy;
+    }
+    serve_next(fleet, host);
+}
+
+inline void
+complete_attempt(virtual_fleet& fleet, const attempt_pointer& attempt, bool ok)
+{
+    attempt_result result;
+    result.status = attempt_status::replied;
+    result.result = outcome::ran;
+    result.http_status = ok ? 200 : 503;
+    release_slot(fleet, attempt);
+    end_attempt(fleet, attempt, result, gate_result::replied);
+}
+
+// The upstream has done its own work and calls the next service, if any.
+inline void call_below(virtual_fleet& fleet, const attempt_pointer& attempt)
+{
+    if (attempt->ended || !fleet.hosts[attempt->host]->alive)
+    {
+        return;
+    }
+    const auto& chain = fleet.deployment.routes[attempt->route].chain;
+    const std::size_t next = attempt->position + 1;
+    if (next >= chain.size())
+    {
+        complete_attempt(fleet, attempt, true);
+        return;
+    }
+    call_request request;
+    request.method = "GET";
+    request.target = "/" + fleet.deployment.services[chain[next]].name;
+    request.parent = attempt->context;
+    request.parent_record = attempt->record;
+    start_call(
+        fleet, attempt->host, attempt->route, next, request,
+        [&fleet, attempt](bool ok)
+        {
+            if (!attempt->ended)
+            {
+                complete_attempt(fleet, attempt, ok);
+            }
+        });
+}
+
+inline void serve_next(virtual_fleet& fleet, virtual_host& host)
+{
+    virtual_upstream& upstream = host.upstream;
+    while (!upstream.waiting.empty() && upstream.busy < upstream.slots)
+    {
+        const attempt_pointer attempt = upstream.waiting.front();
+        upstream.waiting.pop_front();
+        if (attempt->ended)
+        {
+            continue;
+        }
+        ++upstream.busy;
+        attempt->in_slot = true;
+        const double factor =
+            (0.5 + random_fraction(fleet.random)) * upstream.slow_factor;
+        const duration mean =
+            fleet.deployment.services[host.service].service_time;
+        run_after(
+            fleet.clock, from_seconds(to_seconds(mean) * factor),
+            [&fleet, attempt]()
+            {
+                call_below(fleet, attempt);
+            });
+    }
+}
+
+inline void start_at_upstream(
+    virtual_fleet& fleet, virtual_host& host, const attempt_pointer& attempt)
+{
+    attempt->started = true;
+    host.upstream.waiting.push_back(attempt);
+    serve_next(fleet, host);
+}
+
+inline void take_verdicts(
+    virtual_fleet& fleet, virtual_host& host, const gate_verdicts& verdicts)
+{
+    for (const auto& [ticket, reason] : verdicts)
+    {
+        const auto found = host.attempts.find(ticket);
+        if (found == host.attempts.end())
+        {
+            continue;
+        }
+        const attempt_pointer attempt = found->second;
+        if (reason == refusal::none)
+        {
+            attempt->record = std::make_shared<call_record>(attempt->context);
+            start_at_upstream(fleet, host, attempt);
+            continue;
+        }
+        attempt_result result;
+        result.status = attempt_status::refused;
+        result.reason = reason;
+        result.result = outcome::not_run;
+        result.returned_allowance = attempt->context.retry_allowance;
+        result.load = gate_report(host.gate, fleet.clock.now);
+        end_attempt(fleet, attempt, result, gate_result::cancelled);
+    }
+}
+
+// A request's deadline has passed: the upstream is told to stop.
+inline void expire_attempt(virtual_fleet& fleet, const attempt_pointer& attempt)
+{
+    if (attempt->ended)
+    {
+        return;
+    }
+    attempt_result result;
+    result.status = attempt_status::timed_out;
+    result.reason = refusal::deadline_exceeded;
+    virtual_host& host = *fleet.hosts[attempt->host];
+    if (!attempt->started)
+    {
+        const auto verdicts =
+            gate_cancel(host.gate, attempt->ticket, fleet.clock.now);
+        end_attempt(fleet, attempt, result, gate_result::cancelled);
+        take_verdicts(fleet, host, verdicts);
+        return;
+    }
+    release_slot(fleet, attempt);
+    end_attempt(fleet, attempt, result, gate_result::timed_out);
+}
+
+inline void arrive(virtual_fleet& fleet, const attempt_pointer& attempt)
+{
+    virtual_host& host = *fleet.hosts[attempt->host];
+    ++fleet.result.attempts[host.service];
+    if (!host.alive)
+    {
+        attempt->ended = true;
+        attempt_result result;
+        result.sent = false;
+        attempt->done(result);
+        return;
+    }
+    host.attempts.emplace(attempt->ticket, attempt);
+    run_after(
+        fleet.clock, attempt->context.deadline - fleet.clock.now,
+        [&fleet, attempt]()
+        {
+            expire_attempt(fleet, attempt);
+        });
+    gate_request request;
+    request.ticket = attempt->ticket;
+    request.context = attempt->context;
+    take_verdicts(
+        fleet, host,
+        gate_offer(host.gate, std::move(request), fleet.clock.now));
+}
+
+inline void run_attempt(
+    virtual_fleet& fleet, const call_pointer& call, const call_step& step)
+{
+    const auto attempt = std::make_shared<virtual_attempt>();
+    attempt->host = static_cast<std::uint64_t>(step.target.location.host) -
+                    static_cast<std::uint64_t>(fleet.hosts[0]->id);
+    attempt->ticket = fleet.next_id++;
+    attempt->context = step.context;
+    attempt->route = call->route;
+    attempt->position = call->position;
+    const duration delay = delay_between(fleet, call->node, attempt->host);
+    attempt->done = [&fleet, call, delay](const attempt_result& result)
+    {
+        run_after(
+            fleet.clock, delay,
+            [&fleet, call, result]()
+            {
+                virtual_host& node = *fleet.hosts[call->node];
+                const auto next = call_on_attempt(
+                    node.path, call->state, result, fleet.clock.now,
+                    fleet.random);
+                call->state.answered =
+                    call->state.answered && result.http_status < 500;
+                run_step(fleet, call, next);
+            });
+    };
+    run_after(
+        fleet.clock, delay,
+        [&fleet, attempt]()
+        {
+            arrive(fleet, attempt);
+        });
+}
+
+inline void
+run_step(virtual_fleet& fleet, const call_pointer& call, const call_step& step)
+{
+    virtual_host& node = *fleet.hosts[call->node];
+    switch (step.kind)
+    {
+    case call_step_kind::attempt:
+        run_attempt(fleet, call, step);
+        return;
+    case call_step_kind::deliver:
+    case call_step_kind::refuse:
+        break;
+    default:
+        assert(false && "no claims and no waiting for tokens in these runs");
+    }
+    const bool ok =
+        step.kind == call_step_kind::deliver && call->state.answered;
+    end_call(node.path, call->state, fleet.clock.now);
+    call->done(ok);
+}
+
+inline void start_call(
+    virtual_fleet& fleet, std::size_t node, std::size_t route,
+    std::size_t position, const call_request& request,
+    std::function<void(bool)> done)
+{
+    if (fleet.policy != overload_policy::adaptive)
+    {
+        const time_point deadline =
+            request.parent ? request.parent->deadline : fleet.clock.now + 2s;
+        start_plain_call(fleet, {node, route, position, deadline}, done);
+        return;
+    }
+    const auto call = std::make_shared<virtual_call>();
+    call->state.id = fleet.next_id++;
+    call->node = node;
+    call->route = route;
+    call->position = position;
+    call->done = std::move(done);
+    run_step(
+        fleet, call,
+        begin_call(
+            fleet.hosts[node]->path, call->state, request, fleet.clock.now,
+            fleet.random));
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/support/virtual_report.hpp
@@ -0,0 +1,254 @@
+// The figures of a virtual run, against what the deployment could have done.
+#pragma once
+
+#include "support/virtual_model.hpp"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+struct overload_figures
+{
+    // While the trigger lasts: requests served over those that the slots could
+    // have served, the most important first.
+    double goodput = 0.0;
+    // Served over demanded, for the most important class, and the same when
+    // every request of it that fits is served.
+    double critical_served = 0.0;
+    double critical_possible = 0.0;
+    // From the trigger's end until goodput stays at 95% of what it was before.
+    double recovery_seconds = 0.0;
+    // The least of served over max-min share.
+    double worst_workspace = 0.0;
+    // Requests that failed beyond those that capacity forced, over all.
+    double unforced_failures = 0.0;
+    // For each request that needs the deepest service.
+    double attempts_at_deepest = 0.0;
+    std::size_t requests = 0;
+};
+
+// Slot-seconds that one request of a route takes at each service: its own work
+// and that of the calls below, for which the slot is held.
+[[nodiscard]] inline std::vector<double> route_costs(
+    const deployment_model& deployment, const scenario_model& scenario,
+    const route_model& route)
+{
+    std::vector<double> costs(deployment.services.size());
+    double below = 0.0;
+    for (auto i = route.chain.size(); i-- > 0;)
+    {
+        const std::size_t service = route.chain[i];
+        const double factor =
+            service == scenario.slow_service ? scenario.slow_factor : 1.0;
+        below += to_seconds(deployment.services[service].service_time) * factor;
+        costs[service] = below;
+    }
+    return costs;
+}
+
+// Requests a second of each route that the slots can serve, given the demand,
+// the most important first.
+[[nodiscard]] inline std::vector<double> possible_rates(
+    const deployment_model& deployment, const scenario_model& scenario,
+    const std::vector<double>& demand)
+{
+    const std::size_t dead = scenario.dead_data_centre == no_index ? 0 : 1;
+    std::vector<double> room;
+    for (const auto& service : deployment.services)
+    {
+        room.push_back(static_cast<double>(
+            service.slots * deployment.workers_per_data_centre *
+            (deployment.data_centres - dead)));
+    }
+    // The routes are listed in the order of their importance.
+    std::vector<double> possible;
+    for (std::size_t r = 0; r < deployment.routes.size(); ++r)
+    {
+        const auto costs =
+            route_costs(deployment, scenario, deployment.routes[r]);
+        double rate = demand[r];
+        for (std::size_t s = 0; s < costs.size(); ++s)
+        {
+            if (costs[s] > 0.0)
+            {
+                rate = std::min(rate, std::max(0.0, room[s]) / costs[s]);
+            }
+        }
+        for (std::size_t s = 0; s < costs.size(); ++s)
+        {
+            room[s] -= rate * costs[s];
+        }
+        possible.push_back(rate);
+    }
+    return possible;
+}
+
+// Splits `total` over the demands: nobody gets more than its demand, and what
+// one leaves is shared by the others.
+[[nodiscard]] inline std::vector<double>
+max_min_shares(const std::vector<double>& demands, double total)
+{
+    std::vector<std::size_t> order(demands.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        order[i] = i;
+    }
+    std::ranges::sort(
+        order,
+        [&](std::size_t left, std::size_t right)
+        {
+            return demands[left] < demands[right];
+        });
+    std::vector<double> shares(demands.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        const double equal = total / static_cast<double>(order.size() - i);
+        shares[order[i]] = std::min(demands[order[i]], equal);
+        total -= shares[order[i]];
+    }
+    return shares;
+}
+
+struct traffic_counts
+{
+    // By route and workspace.
+    std::vector<std::vector<double>> demand;
+    std::vector<std::vector<double>> served;
+};
+
+[[nodiscard]] inline traffic_counts count_traffic(
+    const deployment_model& deployment, const virtual_result& result,
+    time_point from, time_point to)
+{
+    const std::vector<double> none(deployment.workspaces.size());
+    traffic_counts counts;
+    counts.demand.assign(deployment.routes.size(), none);
+    counts.served = counts.demand;
+    for (const auto& request : result.requests)
+    {
+        if (request.arrived >= from && request.arrived < to)
+        {
+            ++counts.demand[request.route][request.workspace];
+        }
+        if (request.succeeded && request.ended >= from && request.ended < to)
+        {
+            ++counts.served[request.route][request.workspace];
+        }
+    }
+    return counts;
+}
+
+[[nodiscard]] inline double sum_of(const std::vector<double>& values)
+{
+    double sum = 0.0;
+    for (const double value : values)
+    {
+        sum += value;
+    }
+    return sum;
+}
+
+// Seconds from the trigger's end until the goodput of three windows in a row
+// is at least 95% of the mean before the trigger.
+[[nodiscard]] inline double
+recovery_of(const scenario_model& scenario, const virtual_result& result)
+{
+    constexpr double window = 0.25;
+    constexpr double warm_up = 2.0;
+    const double start = to_seconds(scenario.trigger_start);
+    const double end = to_seconds(scenario.trigger_end);
+    std::map<int, double> windows;
+    double before = 0.0;
+    for (const auto& request : result.requests)
+    {
+        const double at = to_seconds(request.ended - result.started);
+        if (!request.succeeded)
+        {
+            continue;
+        }
+        before += at >= warm_up && at < start ? 1.0 : 0.0;
+        if (at >= end)
+        {
+            ++windows[static_cast<int>((at - end) / window)];
+        }
+    }
+    const double normal = before / (start - warm_up) * window;
+    const int last =
+        static_cast<int>((to_seconds(scenario.length) - end) / window);
+    int good = 0;
+    for (int i = 0; i < last; ++i)
+    {
+        // Poisson noise of one window is beside the point of recovery.
+        const double three = windows[i] + windows[i + 1] + windows[i + 2];
+        good = three >= 3 * 0.95 * normal ? good + 1 : 0;
+        if (good == 2)
+        {
+            return (i - 1) * window;
+        }
+    }
+    return to_seconds(scenario.length) - end;
+}
+
+[[nodiscard]] inline overload_figures measure(
+    const deployment_model& deployment, const scenario_model& scenario,
+    const virtual_result& result)
+{
+    overload_figures figures;
+    figures.requests = result.requests.size();
+    const auto counts = count_traffic(
+        deployment, result, result.started + scenario.trigger_start,
+        result.started + scenario.trigger_end);
+    const double seconds =
+        to_seconds(scenario.trigger_end - scenario.trigger_start);
+    std::vector<double> demand;
+    for (const auto& by_workspace : counts.demand)
+    {
+        demand.push_back(sum_of(by_workspace) / seconds);
+    }
+    const auto possible = possible_rates(deployment, scenario, demand);
+    double served = 0.0;
+    double wanted_deepest = 0.0;
+    std::vector<double> shares(deployment.workspaces.size());
+    std::vector<double> got(deployment.workspaces.size());
+    for (std::size_t r = 0; r < demand.size(); ++r)
+    {
+        served += sum_of(counts.served[r]);
+        const auto entitled =
+            max_min_shares(counts.demand[r], possible[r] * seconds);
+        for (std::size_t w = 0; w < shares.size(); ++w)
+        {
+            shares[w] += entitled[w];
+            got[w] += counts.served[r][w];
+        }
+    }
+    figures.goodput = served / (sum_of(possible) * seconds);
+    figures.critical_served = sum_of(counts.served[0]) / (demand[0] * seconds);
+    figures.critical_possible = possible[0] / demand[0];
+    figures.recovery_seconds = recovery_of(scenario, result);
+    figures.worst_workspace = 1e9;
+    for (std::size_t w = 0; w < shares.size(); ++w)
+    {
+        figures.worst_workspace =
+            std::min(figures.worst_workspace, got[w] / shares[w]);
+    }
+    const double total = sum_of(demand) * seconds;
+    const double forced = total - sum_of(possible) * seconds;
+    figures.unforced_failures = std::max(0.0, total - served - forced) / total;
+    for (const auto& request : result.requests)
+    {
+        const auto& chain = deployment.routes[request.route].chain;
+        wanted_deepest +=
+            std::ranges::find(chain, deployment.services.size() - 1) !=
+                    chain.end()
+                ? 1.0
+                : 0.0;
+    }
+    figures.attempts_at_deepest =
+        static_cast<double>(result.attempts.back()) / wanted_deepest;
+    return figures;
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/tests/support/virtual_run.hpp
@@ -0,0 +1,234 @@
+// Runs one scenario on one deployment under one policy.
+#pragma once
+
+#include "support/virtual_baselines.hpp"
+#include "support/virtual_calls.hpp"
+
+#include <cmath>
+
+namespace cyclamenhold
+{
+
+inline bool trigger_is_on(const virtual_fleet& fleet)
+{
+    const duration elapsed = fleet.clock.now - fleet.result.started;
+    return elapsed >= fleet.scenario.trigger_start &&
+           elapsed < fleet.scenario.trigger_end;
+}
+
+inline double demand_of(
+    const virtual_fleet& fleet, std::size_t route, std::size_t workspace,
+    bool triggered)
+{
+    const scenario_model& scenario = fleet.scenario;
+    const deployment_model& deployment = fleet.deployment;
+    double demand = deployment.demand * deployment.routes[route].share *
+                    deployment.workspaces[workspace].share;
+    if (!triggered)
+    {
+        return demand;
+    }
+    demand *= scenario.surge;
+    demand *= route == scenario.surging_route ? scenario.route_surge : 1.0;
+    demand *= workspace == scenario.surging_workspace ? scenario.workspace_surge
+                                                      : 1.0;
+    return demand;
+}
+
+// The workspace's own rate, kept exactly for the whole fleet.
+inline bool take_rate(virtual_fleet& fleet, std::size_t workspace)
+{
+    const deployment_model& deployment = fleet.deployment;
+    const double rate = deployment.demand *
+                        deployment.workspaces[workspace].share *
+                        fleet.scenario.rate_multiple;
+    workspace_tokens& entry = fleet.rates[workspace];
+    const double elapsed = to_seconds(fleet.clock.now - entry.at);
+    entry.tokens = std::min(rate / 2, entry.tokens + rate * elapsed);
+    entry.at = fleet.clock.now;
+    if (entry.tokens < 1.0)
+    {
+        return false;
+    }
+    entry.tokens -= 1.0;
+    return true;
+}
+
+// One sending of a caller's request; it is sent again when it fails.
+inline void send_request(
+    virtual_fleet& fleet, std::size_t index, std::uint32_t retries_left)
+{
+    const request_outcome& request = fleet.result.requests[index];
+    call_request call;
+    call.method = "GET";
+    call.target = "/" + fleet.deployment.routes[request.route].name + "/" +
+                  std::to_string(index);
+    call.key = key_of(request.workspace);
+    std::size_t node = random_below(fleet.random, fleet.hosts.size());
+    while (!fleet.hosts[node]->alive)
+    {
+        node = random_below(fleet.random, fleet.hosts.size());
+    }
+    start_call(
+        fleet, node, request.route, 0, call,
+        [&fleet, index, retries_left](bool ok)
+        {
+            request_outcome& ended = fleet.result.requests[index];
+            ended.ended = fleet.clock.now;
+            ended.succeeded = ok;
+            if (ok || retries_left == 0)
+            {
+                return;
+            }
+            const double factor = 0.5 + random_fraction(fleet.random);
+            run_after(
+                fleet.clock,
+                from_seconds(
+                    to_seconds(fleet.scenario.caller_retry_delay) * factor),
+                [&fleet, index, retries_left]()
+                {
+                    send_request(fleet, index, retries_left - 1);
+                });
+        });
+}
+
+// Poisson arrivals at the larger of the two rates, thinned to the present one.
+inline void
+schedule_arrival(virtual_fleet& fleet, std::size_t route, std::size_t workspace)
+{
+    const double calm = demand_of(fleet, route, workspace, false);
+    const double peak =
+        std::max(calm, demand_of(fleet, route, workspace, true));
+    const double wait = -std::log(1.0 - random_fraction(fleet.random)) / peak;
+    run_after(
+        fleet.clock, from_seconds(wait),
+        [&fleet, route, workspace, peak]()
+        {
+            const double present =
+                demand_of(fleet, route, workspace, trigger_is_on(fleet));
+            const bool wanted = random_fraction(fleet.random) * peak < present;
+            if (wanted && take_rate(fleet, workspace))
+            {
+                fleet.result.requests.push_back(
+                    {fleet.clock.now, {}, route, workspace, false});
+                send_request(
+                    fleet, fleet.result.requests.size() - 1,
+                    fleet.scenario.caller_retries);
+            }
+            schedule_arrival(fleet, route, workspace);
+        });
+}
+
+inline void schedule_tick(virtual_fleet& fleet, virtual_host& host)
+{
+    run_after(
+        fleet.clock, 10ms,
+        [&fleet, &host]()
+        {
+            take_verdicts(fleet, host, gate_tick(host.gate, fleet.clock.now));
+            schedule_tick(fleet, host);
+        });
+}
+
+// All that runs at the host ends without a word; the others learn of the death
+// after the suspicion time.
+inline void kill_host(virtual_fleet& fleet, virtual_host& host)
+{
+    host.alive = false;
+    const auto attempts = std::exchange(host.attempts, {});
+    for (const auto& [ticket, attempt] : attempts)
+    {
+        attempt->ended = true;
+        attempt->done(attempt_result{});
+    }
+    upstream_record record = record_of(fleet, host);
+    record.state = upstream_state::absent;
+    (void)gate_set_upstream(host.gate, record, fleet.clock.now);
+    host.gate.running.clear();
+    host.upstream.busy = 0;
+    host.upstream.waiting.clear();
+    host.fixed_queue.clear();
+    host.fixed_running = 0;
+}
+
+inline void revive_host(virtual_fleet& fleet, virtual_host& host)
+{
+    host.alive = true;
+    (void)gate_set_upstream(host.gate, record_of(fleet, host), fleet.clock.now);
+}
+
+inline void set_trouble(virtual_fleet& fleet, bool on)
+{
+    const scenario_model& scenario = fleet.scenario;
+    for (auto& host : fleet.hosts)
+    {
+        if (host->service == scenario.slow_service)
+        {
+            host->upstream.slow_factor = on ? scenario.slow_factor : 1.0;
+        }
+        if (host->data_centre != scenario.dead_data_centre)
+        {
+            continue;
+        }
+        if (on)
+        {
+            kill_host(fleet, *host);
+        }
+        else
+        {
+            revive_host(fleet, *host);
+        }
+    }
+    if (scenario.dead_data_centre != no_index)
+    {
+        constexpr duration suspicion_time = 3s;
+        run_after(
+            fleet.clock, on ? suspicion_time : duration(500ms),
+            [&fleet]()
+            {
+                publish_routing(fleet);
+            });
+    }
+}
+
+[[nodiscard]] inline virtual_result run_scenario(
+    const deployment_model& deployment, const scenario_model& scenario,
+    overload_policy policy)
+{
+    virtual_fleet fleet;
+    fleet.deployment = deployment;
+    fleet.scenario = scenario;
+    fleet.policy = policy;
+    fleet.random.seed(scenario.seed);
+    fleet.result.started = fleet.clock.now;
+    fleet.result.attempts.resize(deployment.services.size());
+    fleet.rates.resize(deployment.workspaces.size());
+    build_hosts(fleet);
+    for (auto& host : fleet.hosts)
+    {
+        schedule_tick(fleet, *host);
+    }
+    for (std::size_t route = 0; route < deployment.routes.size(); ++route)
+    {
+        for (std::size_t i = 0; i < deployment.workspaces.size(); ++i)
+        {
+            schedule_arrival(fleet, route, i);
+        }
+    }
+    run_after(
+        fleet.clock, scenario.trigger_start,
+        [&fleet]()
+        {
+            set_trouble(fleet, true);
+        });
+    run_after(
+        fleet.clock, scenario.trigger_end,
+        [&fleet]()
+        {
+            set_trouble(fleet, false);
+        });
+    run_until(fleet.clock, fleet.result.started + scenario.length);
+    return std::move(fleet.result);
+}
+
+} // namespace cyclamenhold
