Close levels only inside the class that suffers, and shorten the gate's queue

Change: levels by class, decaying counts, queue of half the limit; a limit probe that sees a change is repeated soon and shrinks in proportion.

--- a/src/core/gate/admission.cpp
+++ b/src/core/gate/admission.cpp
@@ -1,6 +1,8 @@
 #include "core/gate/admission.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 
 namespace cyclamenhold
 {
@@ -8,50 +10,77 @@
 {
 
 constexpr duration window_length = 100ms;
-// A slow service waits longer for enough requests to judge by.
-constexpr duration max_window_length = 1s;
-constexpr std::uint32_t min_window_offers = 20;
-constexpr duration target_delay = 20ms;
-// While overloaded, this much more than was served is let through, so that the
-// queue never runs empty.
-constexpr double admitted_share = 1.05;
-// The level never closes below this, which keeps learning possible.
-constexpr std::uint32_t min_open_positions = 1;
+constexpr duration min_target_delay = 20ms;
+// A class suffers when its requests wait longer than this part of the mean
+// latency.
+constexpr int target_latency_divisor = 2;
+// The counts keep about so many requests in memory, within bounds.
+constexpr double remembered_requests = 100.0;
+constexpr double min_decay = 0.8;
+constexpr double max_decay = 0.97;
+// While a class suffers, this much more than was started is let through, so
+// that the queue does not run empty.
+constexpr double admitted_share = 1.1;
+// When the offers are no more than that and it still suffers, a small step.
+constexpr double small_step = 0.97;
 // The first calm window opens this many positions, each later one twice as
 // many as the one before.
-constexpr std::uint32_t first_opening = 4;
-constexpr std::uint32_t max_doublings = 7;
+constexpr std::uint32_t first_opening = 2;
+constexpr std::uint32_t max_doublings = 6;
+// The level never closes below this, which keeps learning possible.
+constexpr std::uint32_t min_open_positions = 1;
 
-// The number of positions whose offers add up to `wanted`.
-std::uint32_t
-positions_for(const admission_control& control, double wanted, double scale)
+bool suffers(const class_window& window, duration target)
 {
-    double sum = 0.0;
-    for (std::uint32_t position = 0; position < control.open; ++position)
+    const std::uint32_t started = std::max<std::uint32_t>(window.started, 1);
+    return window.refused > 0 || window.delay / started > target;
+}
+
+std::optional<std::size_t>
+first_suffering(const admission_control& control, duration target)
+{
+    for (std::size_t i = 0; i < priority_class_count; ++i)
     {
-        sum += control.offered[position] * scale;
-        if (sum > wanted)
+        if (suffers(control.windows[i], target))
         {
-            return std::max(position, min_open_positions);
+            return i;
         }
     }
-    return control.open;
+    return std::nullopt;
 }
 
-void close_level(admission_control& control)
+// The number of slots whose offers add up to what may be let through.
+std::uint32_t slots_for(const class_demand& demand, std::uint32_t open_slots)
 {
-    double total = 0.0;
-    for (const float count : control.offered)
+    const double wanted = demand.started * admitted_share;
+    double sum = 0.0;
+    for (std::uint32_t slot = 0; slot < open_slots; ++slot)
     {
-        total += count;
+        sum += demand.offered[slot];
+        if (sum > wanted)
+        {
+            return slot;
+        }
     }
-    if (total <= 0.0)
+    return static_cast<std::uint32_t>(open_slots * small_step);
+}
+
+void close_level(admission_control& control, std::size_t suffering)
+{
+    const auto first =
+        static_cast<std::uint32_t>(suffering * admission_slot_count);
+    // A class that is not let in suffers from what its callers have not heard
+    // yet; that moves nothing.
+    if (control.open <= first)
     {
         return;
     }
-    const double scale = control.window_offered / total;
-    const double wanted = admitted_share * control.window_started_count;
-    control.open = positions_for(control, wanted, scale);
+    const std::uint32_t open_slots =
+        std::min<std::uint32_t>(control.open - first, admission_slot_count);
+    control.open = std::max(
+        min_open_positions,
+        first + slots_for(control.demands[suffering], open_slots));
+    control.calm_windows = 0;
 }
 
 void open_level(admission_control& control)
@@ -62,56 +91,75 @@
         admission_position_count, control.open + (first_opening << doublings));
 }
 
+void remember(admission_control& control)
+{
+    const double decay = std::clamp(
+        std::exp(-control.window_offered / remembered_requests), min_decay,
+        max_decay);
+    for (std::size_t i = 0; i < priority_class_count; ++i)
+    {
+        class_demand& demand = control.demands[i];
+        demand.started += control.windows[i].started;
+        demand.started *= decay;
+        for (float& count : demand.offered)
+        {
+            count *= static_cast<float>(decay);
+        }
+        control.windows[i] = {};
+    }
+    control.window_offered = 0;
+}
+
+std::size_t index_of(priority_class priority)
+{
+    return static_cast<std::size_t>(priority);
+}
+
 } // namespace
 
 void admission_note_offer(
     admission_control& control, const request_context& context)
 {
-    control.offered[admission_position(context.priority, context.slot)] += 1.0F;
+    const std::size_t slot =
+        std::min<std::size_t>(context.slot, admission_slot_count - 1);
+    control.demands[index_of(context.priority)].offered[slot] += 1.0F;
     ++control.window_offered;
 }
 
-void admission_note_start(admission_control& control, duration delay)
+void admission_note_start(
+    admission_control& control, priority_class priority, duration delay)
 {
-    ++control.window_started_count;
-    control.window_delay += delay;
+    class_window& window = control.windows[index_of(priority)];
+    ++window.started;
+    window.delay += delay;
 }
 
-void admission_note_refusal(admission_control& control)
+void admission_note_refusal(admission_control& control, priority_class priority)
 {
-    ++control.window_refused;
+    ++control.windows[index_of(priority)].refused;
 }
 
-void admission_tick(admission_control& control, time_point now)
+void admission_tick(
+    admission_control& control, duration mean_latency, time_point now)
 {
-    const duration elapsed = now - control.window_started;
-    const bool few = control.window_offered < min_window_offers;
-    if (elapsed < window_length || (few && elapsed < max_window_length))
+    if (now - control.window_started < window_length)
     {
         return;
     }
-    const auto started =
-        std::max<std::uint32_t>(control.window_started_count, 1);
-    control.overloaded = control.window_refused > 0 ||
-                         control.window_delay / started > target_delay;
-    if (control.overloaded)
-    {
-        control.calm_windows = 0;
-        close_level(control);
-    }
-    else
+    control.window_started = now;
+    const duration target =
+        std::max(min_target_delay, mean_latency / target_latency_divisor);
+    const auto suffering = first_suffering(control, target);
+    control.overloaded = suffering.has_value();
+    if (!suffering)
     {
         open_level(control);
     }
-    for (float& count : control.offered)
+    else
     {
-        count /= 2;
+        close_level(control, *suffering);
     }
-    control.window_started = now;
-    control.window_offered = 0;
-    control.window_started_count = 0;
-    control.window_refused = 0;
-    control.window_delay = {};
+    remember(control);
 }
 
 admission_level level_of(const admission_control& control)
--- a/src/core/gate/admission.hpp
+++ b/src/core/gate/admission.hpp
@@ -1,5 +1,7 @@
 // The admission level that a gate announces: the lowest (priority class, slot)
-// it still accepts, moved so that the queueing delay stays near a target.
+// it still accepts. Because the queue serves the more important class first, a
+// class suffers only when there is too little for it and those above; so the
+// level closes inside the most important class that suffers, never above it.
 #pragma once
 
 #include "core/base/request_context.hpp"
@@ -12,32 +14,49 @@
 namespace cyclamenhold
 {
 
+// What happened to one class in the present window.
+struct class_window
+{
+    std::uint32_t started = 0;
+    std::uint32_t refused = 0;
+    duration delay{};
+};
+
+// Decaying counts of one class, the base of its next level.
+struct class_demand
+{
+    // By slot.
+    std::array<float, admission_slot_count> offered{};
+    double started = 0.0;
+};
+
 struct admission_control
 {
-    // Requests at positions below this are accepted.
+    // Positions below this are accepted.
     std::uint32_t open = admission_position_count;
-    // Requests offered at each position, halved with each window.
-    std::array<float, admission_position_count> offered{};
+    std::array<class_window, priority_class_count> windows;
+    std::array<class_demand, priority_class_count> demands;
     time_point window_started{};
     std::uint32_t window_offered = 0;
-    std::uint32_t window_started_count = 0;
-    std::uint32_t window_refused = 0;
-    duration window_delay{};
-    // Windows in a row without overload.
+    // Windows in a row in which no class that is let in suffered.
     std::uint32_t calm_windows = 0;
-    // The last full window was overloaded.
+    // Some class suffered in the last window.
     bool overloaded = false;
 };
 
 void admission_note_offer(
     admission_control& control, const request_context& context);
-void admission_note_start(admission_control& control, duration delay);
+void admission_note_start(
+    admission_control& control, priority_class priority, duration delay);
 
 // A request was refused or dropped for want of capacity.
-void admission_note_refusal(admission_control& control);
+void admission_note_refusal(
+    admission_control& control, priority_class priority);
 
-// Closes the window when it is over and moves the level.
-void admission_tick(admission_control& control, time_point now);
+// Closes the window when it is over and moves the level. Requests may wait for
+// a part of the upstream's mean latency before that counts as suffering.
+void admission_tick(
+    admission_control& control, duration mean_latency, time_point now);
 
 [[nodiscard]] admission_level level_of(const admission_control& control);
 
--- a/src/core/gate/concurrency_limit.cpp
+++ b/src/core/gate/concurrency_limit.cpp
@@ -13,12 +13,12 @@
 constexpr duration max_probe_length = 2s;
 // A probe lasts this many mean latencies.
 constexpr int probe_latencies = 2;
-constexpr std::uint32_t min_steady_length = 1;
-constexpr std::uint32_t max_steady_length = 15;
+constexpr std::uint32_t min_steady_length = 2;
+constexpr std::uint32_t max_steady_length = 16;
 constexpr std::uint32_t min_samples = 12;
 constexpr double slope_weight = 0.5;
 constexpr double slope_threshold = 0.5;
-constexpr double decrease_factor = 0.85;
+constexpr double max_decrease = 0.3;
 constexpr double growth_share = 0.05;
 constexpr double shed_factor = 0.9;
 constexpr double latency_weight = 0.05;
@@ -104,12 +104,27 @@
     limit.steady_length = min_steady_length;
 }
 
+// In proportion to how clearly less concurrency saves latency.
 void shrink(concurrency_limit& limit)
 {
-    limit.value = bounded(limit, limit.value * decrease_factor);
+    const double factor = 1.0 - max_decrease * limit.lowered_slope;
+    limit.value = bounded(limit, limit.value * factor);
     limit.steady_length = min_steady_length;
 }
 
+// One clear sample is not enough to move the limit, but the same probe is
+// repeated soon; otherwise the next one waits longer.
+void schedule_probe(concurrency_limit& limit, bool is_clear)
+{
+    if (is_clear)
+    {
+        limit.next_probe = limit.phase;
+        limit.steady_length = min_steady_length;
+        return;
+    }
+    limit.steady_length = std::min(limit.steady_length * 2, max_steady_length);
+}
+
 void judge_probe(concurrency_limit& limit)
 {
     const double slope = slope_between(limit.steady, limit.probe);
@@ -120,22 +135,19 @@
     if (limit.phase == limit_phase::lowered)
     {
         smooth(limit.lowered_slope, slope);
+        schedule_probe(limit, slope > slope_threshold);
         if (limit.lowered_slope > slope_threshold)
         {
             shrink(limit);
-            return;
         }
+        return;
     }
-    else
+    smooth(limit.raised_slope, slope);
+    schedule_probe(limit, slope < slope_threshold);
+    if (limit.raised_slope < slope_threshold)
     {
-        smooth(limit.raised_slope, slope);
-        if (limit.raised_slope < slope_threshold)
-        {
-            grow(limit);
-            return;
-        }
+        grow(limit);
     }
-    limit.steady_length = std::min(limit.steady_length * 2, max_steady_length);
 }
 
 } // namespace
--- a/src/core/gate/concurrency_limit.hpp
+++ b/src/core/gate/concurrency_limit.hpp
@@ -49,7 +49,7 @@
     std::uint64_t phase_number = 1;
     time_point phase_started{};
     // Steady phases last this many probe lengths; longer while nothing changes.
-    std::uint32_t steady_length = 1;
+    std::uint32_t steady_length = 8;
     limit_samples steady;
     limit_samples probe;
     // Exponentially weighted mean of the upstream's latency.
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -9,8 +9,8 @@
 {
 
 // Waiting requests for each request that may run.
-constexpr std::size_t queue_factor = 2;
-constexpr std::size_t min_queue_size = 32;
+constexpr std::size_t queue_divisor = 2;
+constexpr std::size_t min_queue_size = 8;
 constexpr std::size_t max_waiting_suspects = 64;
 
 bool accepts(const gate_state& gate)
@@ -22,7 +22,7 @@
 std::size_t queue_bound(const gate_state& gate, time_point now)
 {
     return std::max(
-        min_queue_size, queue_factor * current_limit(gate.limit, now));
+        min_queue_size, current_limit(gate.limit, now) / queue_divisor);
 }
 
 bool has_room(const gate_state& gate, time_point now)
@@ -46,11 +46,13 @@
 {
     const auto running = static_cast<std::uint32_t>(gate.running.size() + 1);
     gate.running.emplace(
-        request.ticket, gate_running{
-                            limit_note_start(gate.limit, running, now),
-                            request.context.digest, request.suspect});
+        request.ticket,
+        gate_running{
+            limit_note_start(gate.limit, running, now), request.context.digest,
+            request.context.priority, request.suspect});
     gate.suspect_running = gate.suspect_running || request.suspect;
-    admission_note_start(gate.admission, now - request.arrived);
+    admission_note_start(
+        gate.admission, request.context.priority, now - request.arrived);
     verdicts.push_back({request.ticket, refusal::none});
 }
 
@@ -87,7 +89,7 @@
         const gate_request request = *queue_pop(gate.queue, order, now);
         if (is_doomed(gate, request, now))
         {
-            admission_note_refusal(gate.admission);
+            admission_note_refusal(gate.admission, request.context.priority);
             verdicts.push_back({request.ticket, refusal::deadline_exceeded});
             continue;
         }
@@ -127,8 +129,10 @@
     }
     if (queue_size(gate.queue) >= queue_bound(gate, now))
     {
-        admission_note_refusal(gate.admission);
         const auto displaced = queue_displace(gate.queue, request);
+        admission_note_refusal(
+            gate.admission,
+            displaced ? displaced->context.priority : request.context.priority);
         if (!displaced)
         {
             verdicts.push_back({request.ticket, refusal::overloaded});
@@ -199,7 +203,7 @@
     }
     if (result == gate_result::shed)
     {
-        admission_note_refusal(gate.admission);
+        admission_note_refusal(gate.admission, ended.priority);
         limit_note_shed(gate.limit, running, now);
     }
     else if (result != gate_result::cancelled)
@@ -236,7 +240,7 @@
 {
     gate_verdicts verdicts;
     limit_tick(gate.limit, now);
-    admission_tick(gate.admission, now);
+    admission_tick(gate.admission, gate.limit.mean_latency, now);
     drop_expired_suspects(gate, now, verdicts);
     if (accepts(gate))
     {
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -43,6 +43,7 @@
 {
     limit_sample_start sample;
     std::uint64_t digest = 0;
+    priority_class priority = priority_class::normal;
     bool suspect = false;
 };
 
--- a/tests/core/gate_test.cpp
+++ b/tests/core/gate_test.cpp
@@ -84,7 +84,7 @@
 {
     gate_state gate = make_gate(1);
     gate_ticket ticket = 0;
-    while (queue_size(gate.queue) < 32)
+    while (queue_size(gate.queue) < 8)
     {
         (void)gate_offer(
             gate, make_request(++ticket, priority_class::low), start_time);
--- a/tests/support/virtual_calls.hpp
+++ b/tests/support/virtual_calls.hpp
@@ -83,7 +83,7 @@
         result.load = gate_report(host.gate, fleet.clock.now);
         result.load->downstream = attempt->record->downstream.read();
     }
-    attempt->done(std::move(result));
+    attempt->done(result);
     take_verdicts(fleet, host, verdicts);
     if (attempt->started && fleet.policy == overload_policy::fixed_limit)
     {
--- a/tests/support/virtual_report.hpp
+++ b/tests/support/virtual_report.hpp
@@ -114,8 +114,10 @@
 
 struct traffic_counts
 {
-    // By route and workspace.
+    // By route and workspace: requests that arrived in the interval, those of
+    // them that succeeded, and successes that fall into the interval.
     std::vector<std::vector<double>> demand;
+    std::vector<std::vector<double>> succeeded;
     std::vector<std::vector<double>> served;
 };
 
@@ -127,11 +129,14 @@
     traffic_counts counts;
     counts.demand.assign(deployment.routes.size(), none);
     counts.served = counts.demand;
+    counts.succeeded = counts.demand;
     for (const auto& request : result.requests)
     {
         if (request.arrived >= from && request.arrived < to)
         {
             ++counts.demand[request.route][request.workspace];
+            counts.succeeded[request.route][request.workspace] +=
+                request.succeeded ? 1.0 : 0.0;
         }
         if (request.succeeded && request.ended >= from && request.ended < to)
         {
@@ -210,22 +215,25 @@
     }
     const auto possible = possible_rates(deployment, scenario, demand);
     double served = 0.0;
+    double succeeded = 0.0;
     double wanted_deepest = 0.0;
     std::vector<double> shares(deployment.workspaces.size());
     std::vector<double> got(deployment.workspaces.size());
     for (std::size_t r = 0; r < demand.size(); ++r)
     {
         served += sum_of(counts.served[r]);
+        succeeded += sum_of(counts.succeeded[r]);
         const auto entitled =
             max_min_shares(counts.demand[r], possible[r] * seconds);
         for (std::size_t w = 0; w < shares.size(); ++w)
         {
             shares[w] += entitled[w];
-            got[w] += counts.served[r][w];
+            got[w] += counts.succeeded[r][w];
         }
     }
     figures.goodput = served / (sum_of(possible) * seconds);
-    figures.critical_served = sum_of(counts.served[0]) / (demand[0] * seconds);
+    figures.critical_served =
+        sum_of(counts.succeeded[0]) / (demand[0] * seconds);
     figures.critical_possible = possible[0] / demand[0];
     figures.recovery_seconds = recovery_of(scenario, result);
     figures.worst_workspace = 1e9;
@@ -236,7 +244,8 @@
     }
     const double total = sum_of(demand) * seconds;
     const double forced = total - sum_of(possible) * seconds;
-    figures.unforced_failures = std::max(0.0, total - served - forced) / total;
+    figures.unforced_failures =
+        std::max(0.0, total - succeeded - forced) / total;
     for (const auto& request : result.requests)
     {
         const auto& chain = deployment.routes[request.route].chain;
