--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -45,7 +45,9 @@
     }
     else if (choice.reason == refusal::overloaded)
     {
-        note_route_level(path.levels, call.route, choice.level, now);
+        note_route_level(
+            path.levels, call.route, choice.level, level_scope::part_of_route,
+            now);
     }
 }
 
@@ -98,14 +100,18 @@
 // re-send. Without budget it is refused only while the services below the
 // route are overloaded, so that no refusal is made that capacity did not force.
 std::optional<call_step>
-count_resend(request_path& path, const call_state& call, time_point now)
+count_resend(request_path& path, call_state& call, time_point now)
 {
     const workspace_id workspace = call.context.workspace;
-    if (!is_resend(path.retries, call.context.digest, now))
+    const auto failed =
+        take_failed_request(path.retries, call.context.digest, now);
+    if (!failed)
     {
         note_first_attempt(path.retries, workspace);
         return std::nullopt;
     }
+    // A re-send keeps its slot: drawing again would only add load.
+    call.context.slot = failed->slot;
     const admission_level level = level_of_route(path.levels, call.route, now);
     const bool overloaded = level.lowest_class <= call.context.priority &&
                             open_positions(level) < admission_position_count;
@@ -153,15 +159,20 @@
 }
 
 void note_downstream(
-    request_path& path, const call_state& call, const load_report& load,
+    request_path& path, const call_state& call, const attempt_result& result,
     time_point now)
 {
+    const admission_level& level = result.load->downstream;
     if (call.parent_record)
     {
-        call.parent_record->downstream.note(load.downstream);
+        call.parent_record->downstream.note(level);
         return;
     }
-    note_route_level(path.levels, call.route, load.downstream, now);
+    const bool whole = result.status == attempt_status::replied &&
+                       result.http_status < first_server_error;
+    note_route_level(
+        path.levels, call.route, level,
+        whole ? level_scope::whole_route : level_scope::part_of_route, now);
 }
 
 // An attempt that ended without its upstream's word keeps what was passed.
@@ -308,7 +319,7 @@
     if (result.load)
     {
         note_load_report(*call.target.stats, *result.load, now);
-        note_downstream(path, call, *result.load, now);
+        note_downstream(path, call, result, now);
     }
     take_back_allowance(call, result);
     if (result.status == attempt_status::replied)
@@ -345,7 +356,8 @@
     cancel_wait(path.limiter, call.context.workspace, call.id);
     if (!call.answered && call.context.digest != 0)
     {
-        note_failed_request(path.retries, call.context.digest, now);
+        note_failed_request(
+            path.retries, {call.context.digest, call.context.slot, now});
     }
 }
 
--- a/src/core/request/route_levels.cpp
+++ b/src/core/request/route_levels.cpp
@@ -20,8 +20,14 @@
 
 void note_route_level(
     route_levels& levels, std::string_view route, const admission_level& level,
-    time_point now)
+    level_scope scope, time_point now)
 {
+    const admission_level present = level_of_route(levels, route, now);
+    if (scope == level_scope::part_of_route &&
+        open_positions(level) >= open_positions(present))
+    {
+        return;
+    }
     route_level& entry = levels.entries[index_of(levels, route)];
     entry.positions.store(open_positions(level), std::memory_order_relaxed);
     entry.reported_at.store(
--- a/src/core/request/route_levels.hpp
+++ b/src/core/request/route_levels.hpp
@@ -29,9 +29,17 @@
     std::array<route_level, 256> entries;
 };
 
+// Whether a request met all the services below its route, or ended before.
+enum class level_scope : std::uint8_t
+{
+    whole_route,
+    // The rest of the route may be less open; the level is only lowered.
+    part_of_route
+};
+
 void note_route_level(
     route_levels& levels, std::string_view route, const admission_level& level,
-    time_point now);
+    level_scope scope, time_point now);
 
 // The level to apply to requests of the route; open when the report is stale.
 [[nodiscard]] admission_level level_of_route(
--- a/src/core/retries/retry_budget.cpp
+++ b/src/core/retries/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "core/retries/retry_budget.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhold
 {
@@ -52,24 +53,23 @@
     return true;
 }
 
-void note_failed_request(
-    retry_budget& budget, std::uint64_t digest, time_point now)
+void note_failed_request(retry_budget& budget, const failed_request& request)
 {
     const std::scoped_lock lock(budget.mutex);
-    entry_of(budget, digest) = {digest, now};
+    entry_of(budget, request.digest) = request;
 }
 
-bool is_resend(retry_budget& budget, std::uint64_t digest, time_point now)
+std::optional<failed_request>
+take_failed_request(retry_budget& budget, std::uint64_t digest, time_point now)
 {
     const std::scoped_lock lock(budget.mutex);
     failed_request& entry = entry_of(budget, digest);
     if (entry.digest != digest || entry.at == time_point{} ||
         now - entry.at > failed_request_age)
     {
-        return false;
+        return std::nullopt;
     }
-    entry = {};
-    return true;
+    return std::exchange(entry, {});
 }
 
 } // namespace cyclamenhold
--- a/src/core/retries/retry_budget.hpp
+++ b/src/core/retries/retry_budget.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -24,6 +25,8 @@
 struct failed_request
 {
     std::uint64_t digest = 0;
+    // The admission slot it had.
+    std::uint16_t slot = 0;
     time_point at{};
 };
 
@@ -42,12 +45,11 @@
 [[nodiscard]] bool take_retry(retry_budget& budget, workspace_id workspace);
 
 // A root request failed or was refused, so that its caller may send it again.
-void note_failed_request(
-    retry_budget& budget, std::uint64_t digest, time_point now);
+void note_failed_request(retry_budget& budget, const failed_request& request);
 
-// Whether a root request is the caller's re-send of one that failed lately.
+// The failure lately of which a root request is the caller's re-send, if any.
 // Each failure is matched by one re-send.
-[[nodiscard]] bool
-is_resend(retry_budget& budget, std::uint64_t digest, time_point now);
+[[nodiscard]] std::optional<failed_request>
+take_failed_request(retry_budget& budget, std::uint64_t digest, time_point now);
 
 } // namespace cyclamenhold
--- a/tests/core/retries_test.cpp
+++ b/tests/core/retries_test.cpp
@@ -183,11 +183,15 @@
     }
     {
         SCOPED_TRACE("a failure is matched by one re-send, for a while");
-        note_failed_request(budget, 42, start_time);
-        EXPECT_TRUE(is_resend(budget, 42, start_time + 1s));
-        EXPECT_FALSE(is_resend(budget, 42, start_time + 1s));
-        note_failed_request(budget, 42, start_time);
-        EXPECT_FALSE(is_resend(budget, 42, start_time + 11s));
+        note_failed_request(budget, {42, 7, start_time});
+        const auto failed = take_failed_request(budget, 42, start_time + 1s);
+        ASSERT_TRUE(failed.has_value());
+        EXPECT_EQ(failed->slot, 7);
+        EXPECT_FALSE(
+            take_failed_request(budget, 42, start_time + 1s).has_value());
+        note_failed_request(budget, {42, 7, start_time});
+        EXPECT_FALSE(
+            take_failed_request(budget, 42, start_time + 11s).has_value());
     }
 }
 
