Judge the limit by the upstream's own time and open stale levels step by step

Cause: waiting for child calls looked like latency of the caller's upstream, and a closed route level that nobody refreshed reopened all at once every 500 ms. Change: call_record.below counts the time in child calls, gate_finish takes it (the adapter passes record->below.total(now)); aged_level opens at 256 positions a second; shorter delay target.

--- a/src/core/gate/admission.cpp
+++ b/src/core/gate/admission.cpp
@@ -13,19 +13,19 @@
 constexpr duration min_target_delay = 20ms;
 // A class suffers when its requests wait longer than this part of the mean
 // latency.
-constexpr int target_latency_divisor = 2;
+constexpr int target_latency_divisor = 4;
 // The counts keep about so many requests in memory, within bounds.
 constexpr double remembered_requests = 100.0;
 constexpr double min_decay = 0.8;
 constexpr double max_decay = 0.97;
 // While a class suffers, this much more than was started is let through, so
 // that the queue does not run empty.
-constexpr double admitted_share = 1.1;
+constexpr double admitted_share = 1.05;
 // When the offers are no more than that and it still suffers, a small step.
 constexpr double small_step = 0.97;
 // The first calm window opens this many positions, each later one twice as
 // many as the one before.
-constexpr std::uint32_t first_opening = 2;
+constexpr std::uint32_t first_opening = 1;
 constexpr std::uint32_t max_doublings = 6;
 // The level never closes below this, which keeps learning possible.
 constexpr std::uint32_t min_open_positions = 1;
--- a/src/core/gate/admission_position.hpp
+++ b/src/core/gate/admission_position.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/base/request_context.hpp"
+#include "core/base/time.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -41,4 +42,24 @@
         static_cast<std::uint16_t>(positions % admission_slot_count)};
 }
 
+// The level to apply when a report is `age` old: the reported one while it is
+// fresh, then opened step by step, so that the first requests let through bring
+// a new report before the rest follows.
+[[nodiscard]] inline admission_level
+aged_level(std::uint32_t reported_positions, duration age)
+{
+    constexpr duration fresh = 500ms;
+    constexpr double positions_per_second = 256.0;
+    if (age <= fresh)
+    {
+        return level_at(reported_positions);
+    }
+    if (age >= 10s)
+    {
+        return {};
+    }
+    const double opened = positions_per_second * to_seconds(age - fresh);
+    return level_at(reported_positions + static_cast<std::uint32_t>(opened));
+}
+
 } // namespace cyclamenhold
--- a/src/core/gate/concurrency_limit.cpp
+++ b/src/core/gate/concurrency_limit.cpp
@@ -201,9 +201,11 @@
 }
 
 void limit_note_end(
-    concurrency_limit& limit, const limit_sample_start& start, time_point now)
+    concurrency_limit& limit, const limit_sample_start& start, duration below,
+    time_point now)
 {
     const duration latency = now - start.at;
+    const duration own = std::max(latency - below, duration(1us));
     if (limit.mean_latency == duration::zero())
     {
         limit.mean_latency = latency;
@@ -228,7 +230,7 @@
     if (samples != nullptr)
     {
         ++samples->count;
-        samples->latency_seconds += to_seconds(latency);
+        samples->latency_seconds += to_seconds(own);
         samples->concurrency += start.concurrency;
     }
 }
--- a/src/core/gate/concurrency_limit.hpp
+++ b/src/core/gate/concurrency_limit.hpp
@@ -77,9 +77,11 @@
 [[nodiscard]] limit_sample_start limit_note_start(
     const concurrency_limit& limit, std::uint32_t running, time_point now);
 
-// A request ended with a reply, a failure or a timeout.
+// A request ended with a reply, a failure or a timeout, after it waited `below`
+// for its child calls. That time says nothing about this upstream's own limit.
 void limit_note_end(
-    concurrency_limit& limit, const limit_sample_start& start, time_point now);
+    concurrency_limit& limit, const limit_sample_start& start, duration below,
+    time_point now);
 
 // The upstream refused a request for load while `running` were running.
 void limit_note_shed(
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -186,7 +186,8 @@
 }
 
 gate_verdicts gate_finish(
-    gate_state& gate, gate_ticket ticket, gate_result result, time_point now)
+    gate_state& gate, gate_ticket ticket, gate_result result, time_point now,
+    duration below)
 {
     gate_verdicts verdicts;
     const auto found = gate.running.find(ticket);
@@ -208,7 +209,7 @@
     }
     else if (result != gate_result::cancelled)
     {
-        limit_note_end(gate.limit, ended.sample, now);
+        limit_note_end(gate.limit, ended.sample, below, now);
     }
     if (accepts(gate))
     {
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -71,9 +71,11 @@
 [[nodiscard]] gate_verdicts
 gate_offer(gate_state& gate, gate_request request, time_point now);
 
-// A started request ended.
+// A started request ended, after it waited `below` for its child calls
+// (call_record::below).
 [[nodiscard]] gate_verdicts gate_finish(
-    gate_state& gate, gate_ticket ticket, gate_result result, time_point now);
+    gate_state& gate, gate_ticket ticket, gate_result result, time_point now,
+    duration below = {});
 
 // The caller of a queued request has gone. Returns verdicts for others; a
 // started request is finished with gate_finish instead.
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -347,6 +347,7 @@
     if (call.parent_record)
     {
         call.parent_record->allowance.give_back(call.context.retry_allowance);
+        call.parent_record->below.note_end(now);
         call.parent_record.reset();
     }
     if (call.context.depth > 0)
--- a/src/core/request/call_context.cpp
+++ b/src/core/request/call_context.cpp
@@ -41,6 +41,10 @@
         context.slot = parent.slot;
         context.depth = parent.depth + 1;
         call.parent_record = request.parent_record;
+        if (call.parent_record)
+        {
+            call.parent_record->below.note_begin(now);
+        }
         context.retry_allowance =
             request.parent_record
                 ? request.parent_record->allowance.take_share()
--- a/src/core/request/call_record.cpp
+++ b/src/core/request/call_record.cpp
@@ -19,4 +19,28 @@
     return level_at(positions_.load(std::memory_order_relaxed));
 }
 
+void child_time::note_begin(time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    if (open_++ == 0)
+    {
+        opened_at_ = now;
+    }
+}
+
+void child_time::note_end(time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    if (open_ > 0 && --open_ == 0)
+    {
+        total_ += now - opened_at_;
+    }
+}
+
+duration child_time::total(time_point now) const
+{
+    const std::scoped_lock lock(mutex_);
+    return open_ > 0 ? total_ + (now - opened_at_) : total_;
+}
+
 } // namespace cyclamenhold
--- a/src/core/request/call_record.hpp
+++ b/src/core/request/call_record.hpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <mutex>
 
 namespace cyclamenhold
 {
@@ -24,6 +25,22 @@
     std::atomic<std::uint32_t> positions_{admission_position_count};
 };
 
+// How long a running request has waited for its child calls, overlapping ones
+// counted once. Thread-safe.
+class child_time
+{
+public:
+    void note_begin(time_point now);
+    void note_end(time_point now);
+    [[nodiscard]] duration total(time_point now) const;
+
+private:
+    mutable std::mutex mutex_;
+    std::uint32_t open_ = 0;
+    time_point opened_at_{};
+    duration total_{};
+};
+
 struct call_record
 {
     explicit call_record(const request_context& request)
@@ -34,6 +51,7 @@
     request_context context;
     allowance_pool allowance;
     downstream_level downstream;
+    child_time below;
 };
 
 } // namespace cyclamenhold
--- a/src/core/request/route_levels.cpp
+++ b/src/core/request/route_levels.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr duration route_level_age = 500ms;
 constexpr std::uint64_t probe_interval = 50;
 std::size_t index_of(const route_levels& levels, std::string_view route)
 {
@@ -41,11 +40,7 @@
     const duration reported(entry.reported_at.load(std::memory_order_relaxed));
     const std::uint32_t positions =
         entry.positions.load(std::memory_order_relaxed);
-    if (now - time_point(reported) > route_level_age)
-    {
-        return {};
-    }
-    return level_at(positions);
+    return aged_level(positions, now - time_point(reported));
 }
 
 bool admits(
--- a/src/core/routing/upstream_stats.cpp
+++ b/src/core/routing/upstream_stats.cpp
@@ -10,9 +10,6 @@
 {
 
 constexpr duration load_report_age = 500ms;
-// An upstream that had to refuse much is left alone so long; then requests
-// find out whether it recovered.
-constexpr duration level_report_age = 500ms;
 
 constexpr std::uint32_t millionths = 1'000'000;
 constexpr std::uint32_t failure_weight_divisor = 10;
@@ -148,11 +145,13 @@
 {
     const std::uint32_t positions =
         stats.reported_level.load(std::memory_order_relaxed);
-    if (positions == 0 || !is_recent(stats.reported_at, level_report_age, now))
+    if (positions == 0)
     {
         return {};
     }
-    return level_at(positions);
+    const std::chrono::nanoseconds reported(
+        stats.reported_at.load(std::memory_order_relaxed));
+    return aged_level(positions, now - time_point(reported));
 }
 
 bool is_ejected(const upstream_stats& stats, time_point now)
--- a/tests/support/virtual_calls.hpp
+++ b/tests/support/virtual_calls.hpp
@@ -74,8 +74,9 @@
     gate_verdicts verdicts;
     if (attempt->started && fleet.policy == overload_policy::adaptive)
     {
-        verdicts =
-            gate_finish(host.gate, attempt->ticket, at_gate, fleet.clock.now);
+        verdicts = gate_finish(
+            host.gate, attempt->ticket, at_gate, fleet.clock.now,
+            attempt->record->below.total(fleet.clock.now));
     }
     if (attempt->record)
     {
