Rename the experiments' JSON reader

Cause: the intent parser has a type json_reader in the same namespace and library; two definitions of one name are undefined behaviour once merged. Change: the experiments' reader is member_reader in a file of that name. Conclusion: no two types share a name; the two readers do similar work and can be merged later.

--- a/src/apps/cyclamen-load/fleet.cpp
+++ b/src/apps/cyclamen-load/fleet.cpp
@@ -1,7 +1,7 @@
 #include "fleet.hpp"
 
 #include "adapters/json_server.hpp"
-#include "experiment/json_reader.hpp"
+#include "experiment/member_reader.hpp"
 
 namespace cyclamenhold
 {
@@ -28,7 +28,7 @@
 {
 
 target_group
-read_group(json_reader& reader, const std::string& place, findings& found)
+read_group(member_reader& reader, const std::string& place, findings& found)
 {
     target_group group;
     group.path_prefix = reader.text("path_prefix");
@@ -50,10 +50,10 @@
     return group;
 }
 
-void read_groups(json_reader& reader, fleet& processes, findings& found)
+void read_groups(member_reader& reader, fleet& processes, findings& found)
 {
     std::size_t index = 0;
-    for (json_reader& item : reader.objects("groups"))
+    for (member_reader& item : reader.objects("groups"))
     {
         const std::string place = "/groups/" + std::to_string(index++);
         processes.groups.push_back(read_group(item, place, found));
@@ -64,10 +64,10 @@
     }
 }
 
-void read_upstreams(json_reader& reader, fleet& processes, findings& found)
+void read_upstreams(member_reader& reader, fleet& processes, findings& found)
 {
     std::size_t index = 0;
-    for (json_reader& item : reader.objects("upstreams"))
+    for (member_reader& item : reader.objects("upstreams"))
     {
         fleet_upstream upstream;
         upstream.service = item.required_text("service");
@@ -84,7 +84,7 @@
     }
 }
 
-void read_keys(json_reader& reader, fleet& processes, findings& found)
+void read_keys(member_reader& reader, fleet& processes, findings& found)
 {
     const auto keys =
         parse_json_with_comments(reader.object_text("keys"), found);
@@ -114,7 +114,7 @@
     {
         return processes;
     }
-    json_reader reader(*value, "", found);
+    member_reader reader(*value, "", found);
     read_groups(reader, processes, found);
     read_upstreams(reader, processes, found);
     read_keys(reader, processes, found);
--- a/src/experiment/json_reader.cpp
+++ b/src/experiment/member_reader.cpp
@@ -1,4 +1,4 @@
-#include "experiment/json_reader.hpp"
+#include "experiment/member_reader.hpp"
 
 #include <algorithm>
 #include <sstream>
@@ -59,7 +59,7 @@
     return parser.release();
 }
 
-json_reader::json_reader(
+member_reader::member_reader(
     const json::value& value, std::string pointer, findings& found)
     : object_(value.if_object()), pointer_(std::move(pointer)), found_(&found)
 {
@@ -70,19 +70,19 @@
     }
 }
 
-const json::value* json_reader::member(std::string_view name)
+const json::value* member_reader::member(std::string_view name)
 {
     known_.emplace(name);
     return object_->if_contains(json::string_view(name.data(), name.size()));
 }
 
-void json_reader::add(std::string_view name, std::string message)
+void member_reader::add(std::string_view name, std::string message)
 {
     add_finding(
         *found_, pointer_ + "/" + std::string(name), std::move(message));
 }
 
-std::string json_reader::text(std::string_view name, std::string otherwise)
+std::string member_reader::text(std::string_view name, std::string otherwise)
 {
     const json::value* value = member(name);
     if (value == nullptr)
@@ -97,7 +97,7 @@
     return std::string(value->get_string().c_str());
 }
 
-std::string json_reader::required_text(std::string_view name)
+std::string member_reader::required_text(std::string_view name)
 {
     if (member(name) == nullptr)
     {
@@ -107,7 +107,7 @@
     return text(name);
 }
 
-double json_reader::number(
+double member_reader::number(
     std::string_view name, double otherwise, double least, double most)
 {
     const json::value* value = member(name);
@@ -125,7 +125,7 @@
     return number;
 }
 
-bool json_reader::flag(std::string_view name, bool otherwise)
+bool member_reader::flag(std::string_view name, bool otherwise)
 {
     const json::value* value = member(name);
     if (value == nullptr)
@@ -140,7 +140,7 @@
     return value->get_bool();
 }
 
-std::vector<std::string> json_reader::texts(std::string_view name)
+std::vector<std::string> member_reader::texts(std::string_view name)
 {
     std::vector<std::string> list;
     const json::value* value = member(name);
@@ -165,7 +165,7 @@
     return list;
 }
 
-std::vector<double> json_reader::numbers(std::string_view name)
+std::vector<double> member_reader::numbers(std::string_view name)
 {
     std::vector<double> list;
     const json::value* value = member(name);
@@ -194,7 +194,7 @@
     return list;
 }
 
-std::string json_reader::object_text(std::string_view name)
+std::string member_reader::object_text(std::string_view name)
 {
     const json::value* value = member(name);
     if (value == nullptr)
@@ -209,9 +209,9 @@
     return json::serialize(*value);
 }
 
-std::vector<json_reader> json_reader::objects(std::string_view name)
+std::vector<member_reader> member_reader::objects(std::string_view name)
 {
-    std::vector<json_reader> readers;
+    std::vector<member_reader> readers;
     const json::value* value = member(name);
     if (value == nullptr)
     {
@@ -234,17 +234,17 @@
     return readers;
 }
 
-std::optional<json_reader> json_reader::object(std::string_view name)
+std::optional<member_reader> member_reader::object(std::string_view name)
 {
     const json::value* value = member(name);
     if (value == nullptr)
     {
         return std::nullopt;
     }
-    return json_reader(*value, pointer_ + "/" + std::string(name), *found_);
+    return member_reader(*value, pointer_ + "/" + std::string(name), *found_);
 }
 
-void json_reader::reject_unknown()
+void member_reader::reject_unknown()
 {
     for (const auto& [name, value] : *object_)
     {
--- a/src/experiment/json_reader.hpp
+++ b/src/experiment/member_reader.hpp
@@ -19,11 +19,11 @@
 [[nodiscard]] std::optional<boost::json::value>
 parse_json_with_comments(std::string_view text, findings& found);
 
-class json_reader
+class member_reader
 {
 public:
     // A value that is no object gives a finding and reads as an empty one.
-    json_reader(
+    member_reader(
         const boost::json::value& value, std::string pointer, findings& found);
 
     // Each returns `otherwise` when the member is absent or wrong.
@@ -38,8 +38,8 @@
     // The serialized object, "{}" when it is absent.
     [[nodiscard]] std::string object_text(std::string_view name);
     // A reader for each element of an array of objects.
-    [[nodiscard]] std::vector<json_reader> objects(std::string_view name);
-    [[nodiscard]] std::optional<json_reader> object(std::string_view name);
+    [[nodiscard]] std::vector<member_reader> objects(std::string_view name);
+    [[nodiscard]] std::optional<member_reader> object(std::string_view name);
 
     void add(std::string_view name, std::string message);
     // Adds a finding for each member that was never read.
--- a/src/experiment/scenario.cpp
+++ b/src/experiment/scenario.cpp
@@ -1,6 +1,6 @@
 #include "experiment/scenario.hpp"
 
-#include "experiment/json_reader.hpp"
+#include "experiment/member_reader.hpp"
 
 #include <algorithm>
 
@@ -14,7 +14,7 @@
 constexpr double highest_rate = 100'000.0;
 constexpr double largest_body = 64.0 * 1024 * 1024;
 
-scenario_workspace read_workspace(json_reader& reader)
+scenario_workspace read_workspace(member_reader& reader)
 {
     scenario_workspace workspace;
     workspace.name = reader.required_text("name");
@@ -26,7 +26,7 @@
     return workspace;
 }
 
-scenario_route read_route(json_reader& reader)
+scenario_route read_route(member_reader& reader)
 {
     scenario_route route;
     route.name = reader.required_text("name");
@@ -53,7 +53,7 @@
     return route;
 }
 
-scenario_phase read_phase(json_reader& reader)
+scenario_phase read_phase(member_reader& reader)
 {
     scenario_phase phase;
     phase.from_s = reader.number("from_s", 0.0, 0.0, longest_s);
@@ -64,7 +64,7 @@
     return phase;
 }
 
-scenario_trigger read_trigger(json_reader& reader)
+scenario_trigger read_trigger(member_reader& reader)
 {
     scenario_trigger trigger;
     trigger.from_s = reader.number("from_s", 0.0, 0.0, longest_s);
@@ -78,13 +78,13 @@
 }
 
 std::uint32_t
-read_count(json_reader& reader, std::string_view name, double otherwise)
+read_count(member_reader& reader, std::string_view name, double otherwise)
 {
     return static_cast<std::uint32_t>(
         reader.number(name, otherwise, 1.0, 100'000.0));
 }
 
-scenario_service read_service(json_reader& reader)
+scenario_service read_service(member_reader& reader)
 {
     scenario_service service;
     service.name = reader.required_text("name");
@@ -104,16 +104,16 @@
 
 template <class Item>
 void read_list(
-    json_reader& reader, std::string_view name, std::vector<Item>& list,
-    Item (*read)(json_reader&))
+    member_reader& reader, std::string_view name, std::vector<Item>& list,
+    Item (*read)(member_reader&))
 {
-    for (json_reader& item : reader.objects(name))
+    for (member_reader& item : reader.objects(name))
     {
         list.push_back(read(item));
     }
 }
 
-void read_load(json_reader& reader, scenario& plan)
+void read_load(member_reader& reader, scenario& plan)
 {
     plan.name = reader.required_text("name");
     plan.seed = static_cast<std::uint64_t>(reader.number("seed", 1, 0, 1e15));
@@ -139,7 +139,7 @@
     }
 }
 
-void check_phases(json_reader& reader, const scenario& plan)
+void check_phases(member_reader& reader, const scenario& plan)
 {
     for (std::size_t index = 0; index < plan.phases.size(); ++index)
     {
@@ -162,7 +162,7 @@
     }
 }
 
-void check_whole(json_reader& reader, const scenario& plan)
+void check_whole(member_reader& reader, const scenario& plan)
 {
     if (plan.workspaces.empty())
     {
@@ -221,7 +221,7 @@
     {
         return plan;
     }
-    json_reader reader(*value, "", found);
+    member_reader reader(*value, "", found);
     read_load(reader, plan);
     plan.data_centres = reader.texts("data_centres");
     plan.deepest_service = reader.text("deepest_service");
