--- /dev/null
+++ b/src/apps/cyclamen-ctl/main.cpp
@@ -0,0 +1,9 @@
+#include "ctl.hpp"
+
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return static_cast<int>(cyclamenhold::run_ctl(words, std::cout, std::cerr));
+}
--- a/src/core/base/ip_endpoint.hpp
+++ b/src/core/base/ip_endpoint.hpp
@@ -3,7 +3,6 @@
 
 #include "core/base/ids.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,7 +17,7 @@
 {
     std::uint32_t address = 0;
     std::uint16_t port = 0;
-    auto operator<=>(const ip_endpoint&) const = default;
+    bool operator==(const ip_endpoint&) const = default;
 };
 
 // Parses "10.0.0.1:7400"; the port may be 0.
