--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -92,7 +92,8 @@
     while (!last)
     {
         body_chunk chunk;
-        if (!co_await read_more(*caller, chunk.bytes))
+        const bool more = co_await read_more(*caller, chunk.bytes);
+        if (!more)
         {
             caller->gone = true;
             cancel(*work);
--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -99,7 +99,8 @@
 // Reads the body up to max_chunk_bytes.
 asio::awaitable<bool> read_prefix(caller_ptr caller)
 {
-    if (!co_await answer_expectation(caller))
+    const bool expected = co_await answer_expectation(caller);
+    if (!expected)
     {
         co_return false;
     }
@@ -268,7 +269,13 @@
     caller->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     while (!caller->must_close && !caller->gone)
     {
-        if (!co_await read_head(caller) || !co_await read_prefix(caller))
+        const bool has_head = co_await read_head(caller);
+        if (!has_head)
+        {
+            break;
+        }
+        const bool has_prefix = co_await read_prefix(caller);
+        if (!has_prefix)
         {
             break;
         }
--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -83,7 +83,8 @@
 receive_hello(peer_socket& peer, handshake_nonce& nonce)
 {
     std::vector<std::uint8_t> payload;
-    if (auto status = co_await read_frame(peer, payload); !status.ok())
+    const auto status = co_await read_frame(peer, payload);
+    if (!status.ok())
     {
         co_return status;
     }
@@ -103,7 +104,8 @@
 receive_proof(peer_socket& peer, const handshake_proof& expected)
 {
     std::vector<std::uint8_t> payload;
-    if (auto status = co_await read_frame(peer, payload); !status.ok())
+    const auto status = co_await read_frame(peer, payload);
+    if (!status.ok())
     {
         co_return status;
     }
@@ -184,7 +186,8 @@
     handshake_nonce other{};
     encode_hello(peer->pending, identity.self, identity.self_incarnation, own);
     flush(peer);
-    if (auto status = co_await receive_hello(*peer, other); !status.ok())
+    const auto status = co_await receive_hello(*peer, other);
+    if (!status.ok())
     {
         co_return status;
     }
@@ -197,10 +200,10 @@
                            identity.fleet_secret, handshake_role::dialler,
                            identity.self, own, peer->peer, other));
     flush(peer);
-    co_return co_await receive_proof(
-        *peer, make_proof(
-                   identity.fleet_secret, handshake_role::acceptor, peer->peer,
-                   other, identity.self, own));
+    const handshake_proof proof = make_proof(
+        identity.fleet_secret, handshake_role::acceptor, peer->peer, other,
+        identity.self, own);
+    co_return co_await receive_proof(*peer, proof);
 }
 
 asio::awaitable<absl::Status>
@@ -208,7 +211,8 @@
 {
     const handshake_nonce own = make_nonce();
     handshake_nonce other{};
-    if (auto status = co_await receive_hello(*peer, other); !status.ok())
+    const auto status = co_await receive_hello(*peer, other);
+    if (!status.ok())
     {
         co_return status;
     }
@@ -217,9 +221,10 @@
     const handshake_proof expected = make_proof(
         identity.fleet_secret, handshake_role::dialler, peer->peer, other,
         identity.self, own);
-    if (auto status = co_await receive_proof(*peer, expected); !status.ok())
+    const auto proven = co_await receive_proof(*peer, expected);
+    if (!proven.ok())
     {
-        co_return status;
+        co_return proven;
     }
     encode_proof(
         peer->pending, make_proof(
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -41,13 +41,15 @@
 }
 
 // Sends a piece of a body, and its end behind the last one.
+// `bytes` outlives the call.
 asio::awaitable<bool> send_piece(
     peer_link_ptr link, peer_stream_ptr stream, std::uint64_t id,
-    std::string bytes, bool last)
+    const std::string& bytes, bool last)
 {
     if (!bytes.empty())
     {
-        if (!co_await wait_for_credit(link, stream, bytes.size()))
+        const bool open = co_await wait_for_credit(link, stream, bytes.size());
+        if (!open)
         {
             co_return false;
         }
@@ -69,6 +71,7 @@
 pump_body(peer_link_ptr link, peer_stream_ptr stream, std::uint64_t id)
 {
     bool last = false;
+    std::string piece;
     while (!last)
     {
         auto [error, chunk] = co_await stream->work->body.async_receive(
@@ -78,8 +81,9 @@
             break;
         }
         last = chunk.last;
-        if (!co_await send_piece(
-                link, stream, id, std::move(chunk.bytes), last))
+        piece = std::move(chunk.bytes);
+        const bool sent = co_await send_piece(link, stream, id, piece, last);
+        if (!sent)
         {
             co_return;
         }
@@ -158,6 +162,7 @@
 pump_reply(peer_link_ptr link, peer_stream_ptr stream, std::uint64_t id)
 {
     bool done = false;
+    std::string piece;
     while (!done && !link->connection->closed)
     {
         auto [error, event] = co_await stream->work->reply.async_receive(
@@ -182,8 +187,10 @@
             flush(link->connection);
             break;
         }
-        if (!co_await send_piece(
-                link, stream, id, std::move(event.bytes), event.last))
+        piece = std::move(event.bytes);
+        const bool sent =
+            co_await send_piece(link, stream, id, piece, event.last);
+        if (!sent)
         {
             co_return;
         }
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -144,7 +144,9 @@
     stream_serializer serializer(response);
     while (true)
     {
-        if (!co_await write_piece(caller, serializer, response, event))
+        const bool written =
+            co_await write_piece(caller, serializer, response, event);
+        if (!written)
         {
             co_return false;
         }
@@ -186,7 +188,8 @@
     const bool small = size && *size <= max_chunk_bytes;
     while (small && !first.last)
     {
-        if (!co_await join_first_piece(work, first))
+        const bool joined = co_await join_first_piece(work, first);
+        if (!joined)
         {
             co_return false;
         }
@@ -208,7 +211,8 @@
             delivered.content_type = value;
         }
     }
-    if (!co_await gather_small(work, first))
+    const bool gathered = co_await gather_small(work, first);
+    if (!gathered)
     {
         // Nothing has been written yet, so the cut is shown by a status.
         co_await write_refusal(
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -81,7 +81,7 @@
 
 // Sends a request whose body is all there.
 asio::awaitable<beast::error_code>
-send_whole(upstream_call& call, body_chunk chunk)
+send_whole(upstream_call& call, body_chunk& chunk)
 {
     http::request<http::string_body> request;
     fill_head(request, call);
@@ -119,7 +119,7 @@
 
 // Sends a request whose body is still coming.
 asio::awaitable<beast::error_code>
-send_streamed(upstream_call& call, body_chunk chunk)
+send_streamed(upstream_call& call, body_chunk& chunk)
 {
     reply_event started;
     started.started = true;
@@ -138,9 +138,11 @@
     while (true)
     {
         call.connection->stream.expires_after(call.body_stall_timeout);
-        if (auto error = co_await write_piece(call, serializer, request, chunk))
+        const auto failed =
+            co_await write_piece(call, serializer, request, chunk);
+        if (failed)
         {
-            co_return error;
+            co_return failed;
         }
         if (chunk.last)
         {
@@ -239,8 +241,9 @@
         if (!bodyless && !parser->is_done())
         {
             stream.expires_after(call.body_stall_timeout);
-            if (auto failed =
-                    co_await read_piece(call, *parser, *space, event.bytes))
+            const auto failed =
+                co_await read_piece(call, *parser, *space, event.bytes);
+            if (failed)
             {
                 co_return fail_call(call, failed, failure_after(failed));
             }
@@ -293,16 +296,24 @@
     {
         co_return fail_call(call, cut, {refusal::cancelled, outcome::not_run});
     }
-    if (const auto error = co_await connect(call))
+    const auto refused = co_await connect(call);
+    if (refused)
     {
         co_return fail_call(
-            call, error, {refusal::upstream_failed, outcome::not_run});
+            call, refused, {refusal::upstream_failed, outcome::not_run});
     }
     call.work->untouched = false;
     call.connection->stream.expires_at(call.work->context.deadline);
     const bool whole = chunk.last;
-    const auto error = whole ? co_await send_whole(call, std::move(chunk))
-                             : co_await send_streamed(call, std::move(chunk));
+    beast::error_code error;
+    if (whole)
+    {
+        error = co_await send_whole(call, chunk);
+    }
+    else
+    {
+        error = co_await send_streamed(call, chunk);
+    }
     if (error)
     {
         co_return fail_call(call, error, failure_after(error));
--- a/tests/support/virtual_baselines.hpp
+++ b/tests/support/virtual_baselines.hpp
@@ -98,8 +98,7 @@
 }
 
 inline void start_plain_call(
-    call_fleet& fleet, const plain_call& call,
-    std::function<void(bool)> done)
+    call_fleet& fleet, const plain_call& call, std::function<void(bool)> done)
 {
     const auto& chain = fleet.deployment.routes[call.route].chain;
     const auto attempt = std::make_shared<virtual_attempt>();
--- a/tests/support/virtual_calls.hpp
+++ b/tests/support/virtual_calls.hpp
@@ -35,8 +35,7 @@
 };
 
 void start_plain_call(
-    call_fleet& fleet, const plain_call& call,
-    std::function<void(bool)> done);
+    call_fleet& fleet, const plain_call& call, std::function<void(bool)> done);
 void run_step(
     call_fleet& fleet, const call_pointer& call, const call_step& step);
 void start_call(
@@ -257,8 +256,8 @@
         gate_offer(host.gate, std::move(request), fleet.clock.now));
 }
 
-inline void run_attempt(
-    call_fleet& fleet, const call_pointer& call, const call_step& step)
+inline void
+run_attempt(call_fleet& fleet, const call_pointer& call, const call_step& step)
 {
     const auto attempt = std::make_shared<virtual_attempt>();
     attempt->host = static_cast<std::uint64_t>(step.target.location.host) -
--- a/tests/support/virtual_run.hpp
+++ b/tests/support/virtual_run.hpp
@@ -55,8 +55,8 @@
 }
 
 // One sending of a caller's request; it is sent again when it fails.
-inline void send_request(
-    call_fleet& fleet, std::size_t index, std::uint32_t retries_left)
+inline void
+send_request(call_fleet& fleet, std::size_t index, std::uint32_t retries_left)
 {
     const request_outcome& request = fleet.result.requests[index];
     call_request call;
