--- /dev/null
+++ b/bench/membership_bench.cpp
@@ -0,0 +1,239 @@
+// What membership and configuration cost a node, and how fast they are, under
+// a virtual clock. Prints one line of JSON for each number of members given on
+// the command line.
+#include "core/membership/member_table.hpp"
+#include "support/fake_fleet.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/json.hpp>
+#include <malloc.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr duration warm_up_time = 20s;
+constexpr duration steady_time = 60s;
+constexpr std::size_t service_count = 710;
+
+std::size_t data_centre_count_of(std::size_t members)
+{
+    return members >= 500 ? 8 : 3;
+}
+
+upstream_record upstream_of(std::size_t place)
+{
+    return {
+        "service-" + std::to_string(place % service_count),
+        upstream_state::serving, 150, 1000, 1};
+}
+
+// Makes all nodes know each other, as after a join long ago.
+void introduce_all(fake_fleet& fleet)
+{
+    for (auto& viewer : fleet.nodes)
+    {
+        control_actions ignored;
+        for (std::size_t place = 0; place < fleet.nodes.size(); ++place)
+        {
+            const fleet_node& other = fleet.nodes[place];
+            if (other.host == viewer.host)
+            {
+                continue;
+            }
+            const member_claim claim{
+                other.host, other.membership->self_incarnation, 0,
+                other.settings.data_centre, member_state::alive};
+            merge_record(
+                *viewer.membership, claim, upstream_of(place), fleet.now,
+                ignored);
+        }
+        viewer.membership->news.clear();
+    }
+}
+
+struct traffic
+{
+    std::uint64_t bytes = 0;
+    std::uint64_t messages = 0;
+};
+
+traffic count_traffic(const fake_fleet& fleet)
+{
+    traffic sum;
+    for (const auto& node : fleet.nodes)
+    {
+        sum.bytes += node.bytes_sent;
+        sum.messages += node.messages_sent;
+    }
+    return sum;
+}
+
+std::size_t count_events(const fake_fleet& fleet, event_kind kind)
+{
+    std::size_t count = 0;
+    for (const auto& node : fleet.nodes)
+    {
+        for (const auto& happened : node.events)
+        {
+            count += happened.kind == kind ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+// Seconds until all running nodes but `subject` fulfil the condition; negative
+// when they do not within the limit.
+double time_until_all(
+    fake_fleet& fleet, std::size_t subject, duration limit,
+    const std::function<bool(const fleet_node&)>& condition)
+{
+    const time_point begin = fleet.now;
+    const auto fulfilled = [&]
+    {
+        for (std::size_t place = 0; place < fleet.nodes.size(); ++place)
+        {
+            const fleet_node& node = fleet.nodes[place];
+            if (place != subject && node.running && !condition(node))
+            {
+                return false;
+            }
+        }
+        return true;
+    };
+    const bool reached = run_until_true(fleet, limit, fulfilled);
+    return reached ? to_seconds(fleet.now - begin) : -1.0;
+}
+
+double measure_drain(fake_fleet& fleet, std::size_t subject)
+{
+    auto record = upstream_of(subject);
+    record.state = upstream_state::draining;
+    announce(fleet, subject, record);
+    const host_id host = fleet.nodes[subject].host;
+    return time_until_all(
+        fleet, subject, 20s,
+        [host](const fleet_node& node)
+        {
+            return node.membership->members.at(host).upstream.state ==
+                   upstream_state::draining;
+        });
+}
+
+double measure_change(fake_fleet& fleet, std::size_t committer)
+{
+    act(fleet, committer,
+        [](fleet_node& node, time_point now, random_source& random,
+           control_actions& actions)
+        {
+            chain_commit(
+                *node.chain, 1, node.chain->current->revision, "bench",
+                R"({"operations":[{"op":"put-workspace","name":"a",
+                    "rate":1,"burst":1}]})",
+                now, random, actions);
+        });
+    return time_until_all(
+        fleet, fleet.nodes.size(), 30s,
+        [](const fleet_node& node)
+        {
+            return node.chain->current->revision >= 1;
+        });
+}
+
+double measure_detection(fake_fleet& fleet, std::size_t subject)
+{
+    const host_id host = fleet.nodes[subject].host;
+    kill_node(fleet, subject);
+    return time_until_all(
+        fleet, subject, 30s,
+        [host](const fleet_node& node)
+        {
+            return node.membership->members.at(host).state ==
+                   member_state::dead;
+        });
+}
+
+std::size_t heap_in_use()
+{
+    return mallinfo2().uordblks;
+}
+
+void start_fleet(fake_fleet& fleet, std::size_t members)
+{
+    const std::size_t data_centres = data_centre_count_of(members);
+    for (std::size_t place = 0; place < members; ++place)
+    {
+        add_node(fleet, "dc-" + std::to_string(place % data_centres));
+        start_node(fleet, place);
+        fleet.nodes[place].membership->local_upstream = upstream_of(place);
+    }
+}
+
+boost::json::object run_size(std::size_t members)
+{
+    fake_fleet fleet(members);
+    fleet.faults.loss = 0.01;
+    start_fleet(fleet, members);
+    const std::size_t heap_before = heap_in_use();
+    introduce_all(fleet);
+    const double heap_growth =
+        static_cast<double>(heap_in_use()) - static_cast<double>(heap_before);
+    run_for(fleet, warm_up_time);
+
+    const traffic before = count_traffic(fleet);
+    const std::uint64_t calls_before = store_call_count(fleet.platform);
+    run_for(fleet, steady_time);
+    const traffic after = count_traffic(fleet);
+    const auto calls =
+        static_cast<double>(store_call_count(fleet.platform) - calls_before);
+    const auto count = static_cast<double>(members);
+    const double node_seconds = count * to_seconds(steady_time);
+
+    boost::json::object result;
+    result["members"] = members;
+    result["data_centres"] = data_centre_count_of(members);
+    result["loss"] = fleet.faults.loss;
+    result["state_bytes_a_member"] = heap_growth / count / (count - 1);
+    result["bytes_a_node_a_second"] =
+        static_cast<double>(after.bytes - before.bytes) / node_seconds;
+    result["messages_a_node_a_second"] =
+        static_cast<double>(after.messages - before.messages) / node_seconds;
+    result["platform_calls_a_second"] = calls / to_seconds(steady_time);
+    // Each suspicion is heard by all.
+    const double node_hours =
+        count * to_seconds(warm_up_time + steady_time) / 3600.0;
+    result["suspicions_a_node_hour"] =
+        static_cast<double>(count_events(fleet, event_kind::member_suspected)) /
+        count / node_hours;
+    result["false_removals"] = count_events(fleet, event_kind::member_removed);
+    result["drain_known_by_all_seconds"] = measure_drain(fleet, 1);
+    result["change_in_force_by_all_seconds"] = measure_change(fleet, 2);
+    result["dead_host_known_by_all_seconds"] = measure_detection(fleet, 3);
+    return result;
+}
+
+} // namespace
+} // namespace cyclamenhold
+
+int main(int argc, char** argv)
+{
+    std::vector<std::size_t> sizes;
+    for (int place = 1; place < argc; ++place)
+    {
+        sizes.push_back(std::strtoull(argv[place], nullptr, 10));
+    }
+    if (sizes.empty())
+    {
+        sizes = {12, 48, 192, 768};
+    }
+    for (const std::size_t members : sizes)
+    {
+        std::cout << boost::json::serialize(cyclamenhold::run_size(members))
+                  << '\n'
+                  << std::flush;
+    }
+    return 0;
+}
--- a/tests/core/configuration_test.cpp
+++ b/tests/core/configuration_test.cpp
@@ -183,6 +183,59 @@
     }
 }
 
+// Carries the commits' calls of one node to the store and back; all else is
+// held up, so that nothing but the commit itself can settle it.
+void carry_commit_calls(
+    chain_state& state, key_value_store& store, time_point now,
+    control_actions& actions)
+{
+    const membership_state members;
+    random_source random(1);
+    for (int round = 0; round < 10; ++round)
+    {
+        const auto calls = std::move(actions.platform_calls);
+        actions.platform_calls.clear();
+        for (const auto& call : calls)
+        {
+            if (call.client == platform_client::intent)
+            {
+                store_call(store, 1, call, now);
+            }
+        }
+        for (const auto& answer : store_poll(store, now))
+        {
+            chain_on_platform_reply(
+                state, members, answer.reply, now, random, actions);
+        }
+    }
+}
+
+TEST(configuration, a_commit_recognises_its_own_earlier_write)
+{
+    chain_state state;
+    key_value_store store;
+    control_actions actions;
+    random_source random(1);
+    const membership_state members;
+    time_point now{100s};
+    chain_start(state, {}, now, random, actions);
+    store.faults.lose_next_answers = 1;
+    chain_commit(state, 7, 0, "op-1", put_workspace("a"), now, random, actions);
+    carry_commit_calls(state, store, now, actions);
+    EXPECT_TRUE(state.results.empty());
+    EXPECT_TRUE(store.values.contains(change_key(1)));
+    for (int step = 0; step < 60 && state.results.empty(); ++step)
+    {
+        now += 100ms;
+        chain_tick(state, members, now, random, actions);
+        carry_commit_calls(state, store, now, actions);
+    }
+    ASSERT_EQ(state.results.size(), 1U);
+    EXPECT_EQ(state.results.front().token, 7U);
+    EXPECT_EQ(state.results.front().status, commit_status::committed);
+    EXPECT_EQ(state.current->revision, 1U);
+}
+
 TEST(configuration, it_outlives_a_platform_outage)
 {
     fake_fleet fleet(4);
