Rename the record of a sent call

Cause: call_record is also a type of the request path in the same namespace and library; the templates over both would be merged. Change: the experiments' one is sent_call.

--- a/src/apps/cyclamen-load/caller.cpp
+++ b/src/apps/cyclamen-load/caller.cpp
@@ -60,7 +60,7 @@
     // By the fleet's groups, and in each by its targets.
     std::vector<std::vector<std::unique_ptr<http_pool>>> pools;
     std::vector<arrival> arrivals;
-    std::vector<call_record> records;
+    std::vector<sent_call> records;
 };
 
 // Any target of the first group that fits the path; null without one.
@@ -163,7 +163,7 @@
 {
     const arrival& what = from.arrivals[index];
     const scenario_route& route = from.plan.routes[what.route];
-    call_record record;
+    sent_call record;
     record.workspace = what.workspace;
     record.route = what.route;
     record.at_s = what.at_s;
@@ -220,7 +220,7 @@
 
 } // namespace
 
-std::vector<call_record> send_calls(
+std::vector<sent_call> send_calls(
     const scenario& plan, const fleet& processes,
     const std::vector<arrival>& arrivals, time_point start)
 {
@@ -240,7 +240,7 @@
     {
         threads.emplace_back(run_caller, std::ref(*from));
     }
-    std::vector<call_record> records;
+    std::vector<sent_call> records;
     for (std::size_t index = 0; index < callers.size(); ++index)
     {
         threads[index].join();
--- a/src/apps/cyclamen-load/caller.hpp
+++ b/src/apps/cyclamen-load/caller.hpp
@@ -17,7 +17,7 @@
 
 // Sends all arrivals, beginning at `start`, on the scenario's number of
 // threads; returns one record a call when the last one is over.
-[[nodiscard]] std::vector<call_record> send_calls(
+[[nodiscard]] std::vector<sent_call> send_calls(
     const scenario& plan, const fleet& processes,
     const std::vector<arrival>& arrivals, time_point start);
 
--- a/src/experiment/figures.cpp
+++ b/src/experiment/figures.cpp
@@ -16,14 +16,14 @@
 constexpr std::size_t recovery_bins = 8;
 constexpr double recovered_share = 0.95;
 
-using record_list = std::vector<call_record>;
+using record_list = std::vector<sent_call>;
 
-bool is_refusal(const call_record& record)
+bool is_refusal(const sent_call& record)
 {
     return record.status == 429 || record.status == 503;
 }
 
-bool is_inside_rate(const scenario& plan, const call_record& record)
+bool is_inside_rate(const scenario& plan, const sent_call& record)
 {
     const scenario_workspace& workspace = plan.workspaces[record.workspace];
     return offered_rate(plan, workspace, record.at_s) <= workspace.rate;
@@ -44,7 +44,7 @@
     {
         return rates;
     }
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         if (record.at_s >= from_s && record.at_s < until_s)
         {
@@ -68,7 +68,7 @@
         bins[index].from_s = static_cast<double>(index) * bin_s;
         bins[index].served_by_class.resize(priority_class_count);
     }
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         const auto index = static_cast<std::size_t>(record.at_s / bin_s);
         if (index >= count)
@@ -136,7 +136,7 @@
     {
         figures.workspaces.push_back({workspace.name, 0, 0, 0, 0, 0});
     }
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         auto& workspace = figures.workspaces[record.workspace];
         if (record.at_s >= from_s && record.at_s < until_s)
@@ -191,7 +191,7 @@
     {
         figures.classes.push_back({priority, 0, 0});
     }
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         if (record.at_s < figures.disturbed.from_s ||
             record.at_s >= figures.disturbed.until_s ||
@@ -231,7 +231,7 @@
     auto histogram =
         bh::make_histogram(bh::axis::regular<double, bh::axis::transform::log>(
             600, 0.01, 10'000.0));
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         if (record.whole && record.at_s >= plan.warm_up_s)
         {
@@ -287,7 +287,7 @@
     figures.disturbed = disturbance_of(plan);
     figures.calls = records.size();
     figures.services = services;
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         figures.attempts += record.attempts;
     }
--- a/src/experiment/figures.hpp
+++ b/src/experiment/figures.hpp
@@ -12,7 +12,7 @@
 {
 
 // One call of a caller, with all of its re-sends.
-struct call_record
+struct sent_call
 {
     std::uint32_t workspace = 0;
     std::uint32_t route = 0;
@@ -103,7 +103,7 @@
 };
 
 [[nodiscard]] experiment_figures work_out_figures(
-    const scenario& plan, const std::vector<call_record>& records,
+    const scenario& plan, const std::vector<sent_call>& records,
     const std::vector<service_counts>& services);
 
 // Divides `total` so that no demand gets more than it asks for and the
--- a/tests/adapters/load_test.cpp
+++ b/tests/adapters/load_test.cpp
@@ -110,7 +110,7 @@
     ASSERT_EQ(records.size(), arrivals.size());
     std::size_t whole = 0;
     std::size_t attempts = 0;
-    for (const call_record& record : records)
+    for (const sent_call& record : records)
     {
         whole += record.whole;
         attempts += record.attempts;
--- a/tests/core/experiment_test.cpp
+++ b/tests/core/experiment_test.cpp
@@ -147,13 +147,13 @@
 
 // All are served but for the disturbance and two seconds after it, in which
 // the large workspace gets half and the small one a quarter.
-std::vector<call_record> served_in_part(const scenario& plan)
+std::vector<sent_call> served_in_part(const scenario& plan)
 {
-    std::vector<call_record> records;
+    std::vector<sent_call> records;
     std::vector<std::size_t> sent(plan.workspaces.size());
     for (const arrival& one : make_arrivals(plan))
     {
-        call_record record;
+        sent_call record;
         record.workspace = one.workspace;
         record.route = one.route;
         record.at_s = one.at_s;
@@ -190,7 +190,7 @@
     {
         SCOPED_TRACE("a run that never recovers says so");
         auto never = records;
-        for (call_record& record : never)
+        for (sent_call& record : never)
         {
             record.whole = record.whole && record.at_s < 10.0;
         }
