--- a/src/apps/cyclamen-ctl/ctl_operations.cpp
+++ b/src/apps/cyclamen-ctl/ctl_operations.cpp
@@ -1,106 +1,51 @@
 #include "ctl_operations.hpp"
 
-#include <string_view>
+#include "core/intent/operations.hpp"
 
-#include <boost/json.hpp>
+#include <cassert>
 
 namespace cyclamenhold
 {
 namespace
 {
 
-namespace json = boost::json;
-
-json::string to_json(std::string_view text)
-{
-    return json::string(text.data(), text.size());
-}
-
-std::string to_hexadecimal(const key_digest& digest)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (const std::uint8_t byte : digest)
-    {
-        text += digits[byte >> 4];
-        text += digits[byte & 0xf];
-    }
-    return text;
-}
-
-json::object put_workspace(const workspace& value)
-{
-    return {
-        {"op", "put-workspace"},
-        {"name", value.name},
-        {"rate", value.rate},
-        {"burst", value.burst}};
-}
-
-json::object put_key(const workspace_key& value)
-{
-    return {
-        {"op", "put-key"},
-        {"id", value.id},
-        {"workspace", value.workspace},
-        {"digest", to_hexadecimal(value.digest)}};
-}
-
-json::object put_route(const route& value)
-{
-    return {
-        {"op", "put-route"},
-        {"name", value.name},
-        {"method", value.method},
-        {"path_prefix", value.path_prefix},
-        {"service", value.service},
-        {"priority", to_json(name_of(value.priority))},
-        {"open", value.open},
-        {"never_repeat", value.never_repeat},
-        {"retry_allowance", value.retry_allowance},
-        {"deadline_ms", value.deadline.count()}};
-}
-
-json::object put_data_centre(const data_centre& value)
-{
-    return {
-        {"op", "put-data-centre"},
-        {"name", value.name},
-        {"region", value.region},
-        {"weight", value.weight}};
-}
-
-json::object
-operation_of(const ctl_arguments& arguments, const workspace_key& key)
+operation_kind kind_of(ctl_command command)
 {
-    switch (arguments.command)
+    switch (command)
     {
     case ctl_command::key_add:
-        return put_key(key);
+        return operation_kind::put_key;
     case ctl_command::key_withdraw:
-        return {{"op", "withdraw-key"}, {"id", arguments.subject}};
+        return operation_kind::withdraw_key;
     case ctl_command::workspace_put:
-        return put_workspace(arguments.workspace_value);
+        return operation_kind::put_workspace;
     case ctl_command::workspace_remove:
-        return {{"op", "remove-workspace"}, {"name", arguments.subject}};
+        return operation_kind::remove_workspace;
     case ctl_command::route_put:
-        return put_route(arguments.route_value);
+        return operation_kind::put_route;
     case ctl_command::route_remove:
-        return {{"op", "remove-route"}, {"name", arguments.subject}};
+        return operation_kind::remove_route;
     case ctl_command::data_centre_put:
-        return put_data_centre(arguments.data_centre_value);
+        return operation_kind::put_data_centre;
     default:
-        return {};
+        break;
     }
+    assert(false && "the command changes nothing");
+    return operation_kind::put_workspace;
 }
 
 } // namespace
 
 std::string intent_of(const ctl_arguments& arguments, const workspace_key& key)
 {
-    const json::object intent{
-        {"operations", json::array{operation_of(arguments, key)}}};
-    return json::serialize(intent);
+    operation asked;
+    asked.kind = kind_of(arguments.command);
+    asked.name = arguments.subject;
+    asked.workspace = arguments.workspace_value;
+    asked.route = arguments.route_value;
+    asked.data_centre = arguments.data_centre_value;
+    asked.key = key;
+    return to_json(std::vector<operation>{asked});
 }
 
 } // namespace cyclamenhold
