Fill buckets of the call fleet by name

Cause: token buckets gained members, and g++ warns of lists that leave some out. Change: assignments.

--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -161,8 +161,12 @@
 {
     for (const auto& workspace : fleet.deployment.workspaces)
     {
-        path.limiter.buckets[workspace_id_of(workspace.name)] = {
-            1e9, 1e9, 1e9, fleet.clock.now};
+        token_bucket& bucket =
+            path.limiter.buckets[workspace_id_of(workspace.name)];
+        bucket.tokens = 1e9;
+        bucket.rate = 1e9;
+        bucket.capacity = 1e9;
+        bucket.refilled_at = fleet.clock.now;
     }
 }
 
