Measure membership by size, and test forks and bad messages

Change: the bench runs single data centres of a large fleet, counts platform writes, and the calls after an outage; tests of forks, gaps, malformed and unasked messages; the fault test checks that no datagram exceeds 1,200 bytes.

--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -162,6 +162,35 @@
         });
 }
 
+// The most calls in one second while the platform comes back after ten
+// minutes, over half a minute.
+double measure_calls_after_outage(fake_fleet& fleet)
+{
+    fleet.platform.faults.down = true;
+    run_for(fleet, 10min);
+    fleet.platform.faults.down = false;
+    std::uint64_t most = 0;
+    for (int second = 0; second < 30; ++second)
+    {
+        const std::uint64_t before = store_call_count(fleet.platform);
+        run_for(fleet, 1s);
+        most = std::max(most, store_call_count(fleet.platform) - before);
+    }
+    return static_cast<double>(most);
+}
+
+std::uint64_t count_writes(const fake_fleet& fleet)
+{
+    std::uint64_t writes = 0;
+    for (const auto& [operation, name] : enum_names<platform_operation>::table)
+    {
+        writes += is_store_write(operation)
+                      ? store_call_count(fleet.platform, operation)
+                      : 0;
+    }
+    return writes;
+}
+
 std::size_t heap_in_use()
 {
     return mallinfo2().uordblks;
@@ -207,7 +236,10 @@
 
     const traffic before = count_traffic(fleet);
     const std::uint64_t calls_before = store_call_count(fleet.platform);
+    const std::uint64_t writes_before = count_writes(fleet);
     run_for(fleet, steady_time);
+    const auto writes =
+        static_cast<double>(count_writes(fleet) - writes_before);
     const traffic after = count_traffic(fleet);
     const auto calls =
         static_cast<double>(store_call_count(fleet.platform) - calls_before);
@@ -225,6 +257,7 @@
     result["messages_a_node_a_second"] =
         static_cast<double>(after.messages - before.messages) / node_seconds;
     result["platform_calls_a_second"] = calls / to_seconds(steady_time);
+    result["platform_writes_a_second"] = writes / to_seconds(steady_time);
     // Each suspicion is heard by all.
     const double node_hours =
         running * to_seconds(warm_up_time + steady_time) / 3600.0;
@@ -235,6 +268,13 @@
     result["drain_known_by_all_seconds"] = measure_drain(fleet, 1);
     result["change_in_force_by_all_seconds"] = measure_change(fleet, 8);
     result["dead_host_known_by_all_seconds"] = measure_detection(fleet, 9);
+    result["largest_datagram"] = fleet.largest_datagram;
+    // Long, so only where the whole fleet runs and is not too large.
+    if (members <= 200)
+    {
+        result["most_platform_calls_in_a_second_after_outage"] =
+            measure_calls_after_outage(fleet);
+    }
     return result;
 }
 
--- a/tests/core/configuration_test.cpp
+++ b/tests/core/configuration_test.cpp
@@ -1,6 +1,6 @@
 #include "core/configuration/chain.hpp"
 
-#include "core/configuration/chain_format.hpp"
+#include "core/configuration/chain_apply.hpp"
 #include "support/fake_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -403,5 +403,67 @@
     EXPECT_LE(rejections, fleet.nodes.size());
 }
 
+TEST(configuration, a_fork_is_not_applied)
+{
+    chain_state state;
+    control_actions actions;
+    const chain_change first{1, "op-1", 0, put_workspace("a")};
+    ASSERT_EQ(
+        apply_change(state, first, time_point{1s}, actions),
+        apply_result::applied);
+    const chain_change fork{
+        2, "op-2", hash_after(first) + 1, put_workspace("b")};
+    EXPECT_EQ(
+        apply_change(state, fork, time_point{1s}, actions),
+        apply_result::rejected);
+    const chain_change next{2, "op-2", hash_after(first), put_workspace("b")};
+    const chain_change later{3, "op-3", hash_after(next), put_workspace("c")};
+    EXPECT_EQ(
+        apply_change(state, later, time_point{1s}, actions), apply_result::gap);
+    EXPECT_EQ(
+        apply_change(state, next, time_point{1s}, actions),
+        apply_result::applied);
+    EXPECT_EQ(
+        apply_change(state, first, time_point{1s}, actions),
+        apply_result::known);
+    EXPECT_EQ(state.current->revision, 2U);
+}
+
+TEST(configuration, bad_messages_are_reported_and_ignored)
+{
+    chain_state state;
+    const membership_state members;
+    control_actions actions;
+    random_source random(1);
+    chain_message message;
+    message.kind = wire::configuration::message_body::snapshot_part;
+    message.snapshot = {9, 9, 1};
+    message.part = 1;
+    for (const auto& bytes :
+         {std::vector<std::uint8_t>(64, 0xff), std::vector<std::uint8_t>{},
+          encode(message)})
+    {
+        actions = {};
+        chain_on_message(
+            state, members,
+            {make_host_id(2, 2), message_kind::configuration, bytes},
+            time_point{1s}, random, actions);
+        ASSERT_EQ(actions.events.size(), 1U);
+        EXPECT_EQ(actions.events.front().kind, event_kind::bad_input);
+    }
+    {
+        SCOPED_TRACE("so is a snapshot that nobody asked for");
+        message.part = 0;
+        message.bytes = "{}";
+        const auto bytes = encode(message);
+        chain_on_message(
+            state, members,
+            {make_host_id(2, 2), message_kind::configuration, bytes},
+            time_point{1s}, random, actions);
+        EXPECT_EQ(state.current->revision, 0U);
+        EXPECT_FALSE(state.peer_snapshot.has_value());
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
--- a/tests/core/membership_faults_test.cpp
+++ b/tests/core/membership_faults_test.cpp
@@ -348,6 +348,10 @@
     {
         return problem;
     }
+    if (state.fleet.largest_datagram > max_datagram_payload)
+    {
+        return "a datagram was too large";
+    }
     return check_results(state);
 }
 
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -89,6 +89,7 @@
         queue;
     std::uint64_t next_order = 0;
     bool keep_events = true;
+    std::size_t largest_datagram = 0;
 };
 
 inline time_point local_time(const fleet_node& node, time_point now)
@@ -154,6 +155,11 @@
     node.bytes_sent +=
         message.payload.size() + (is_datagram ? datagram_header_size : 0);
     ++node.messages_sent;
+    if (is_datagram)
+    {
+        fleet.largest_datagram =
+            std::max(fleet.largest_datagram, message.payload.size());
+    }
     const auto target = fleet.index.find(message.to);
     if (target == fleet.index.end() || message.to == node.host)
     {
