--- a/src/core/rates/loans.cpp
+++ b/src/core/rates/loans.cpp
@@ -69,13 +69,10 @@
 }
 
 // Adds what this host has to say about one workspace to the requests.
-void add_workspace(
-    rates_step& step, loan_requests& requests, workspace_id id,
-    const workspace& settings)
+void add_workspace(rates_step& step, loan_requests& requests, workspace_id id)
 {
     rates_state& state = step.state;
     const std::uint32_t shard = shard_of(id);
-    set_allowance(step, shard, id, settings);
     workspace_demand& demand = state.loans.demand[id];
     const auto sample = sample_demand(step.inputs.limiter, id, step.now);
     sample_rate(demand, sample.arrivals, step.now);
@@ -177,9 +174,18 @@
     }
 }
 
+void set_allowances(rates_step& step)
+{
+    for (const auto& [id, settings] : step.state.workspaces)
+    {
+        set_allowance(step, shard_of(id), id, settings);
+    }
+}
+
 void keep_loans(rates_step& step)
 {
     rates_state& state = step.state;
+    set_allowances(step);
     state.loans.busy = false;
     std::erase_if(
         state.loans.sent,
@@ -190,7 +196,7 @@
     loan_requests requests;
     for (const auto& [id, settings] : state.workspaces)
     {
-        add_workspace(step, requests, id, settings);
+        add_workspace(step, requests, id);
     }
     keep_remote_loans(step, requests);
     send_requests(step, requests);
--- a/src/core/rates/loans.hpp
+++ b/src/core/rates/loans.hpp
@@ -72,6 +72,9 @@
     bool busy = false;
 };
 
+// Tells the limiter what this host's own weight is worth.
+void set_allowances(rates_step& step);
+
 // Sets the limiter's own allowances, reports loans and asks for more.
 void keep_loans(rates_step& step);
 
--- a/src/core/rates/pledge_giving.cpp
+++ b/src/core/rates/pledge_giving.cpp
@@ -41,6 +41,7 @@
         pledge.index = state.hosts.known.index;
         pledge.ends_at = step.now + giver_term(state.settings.term);
         given |= 1U << shard;
+        state.weights_changed = true;
     }
     return given;
 }
--- a/src/core/rates/rates.cpp
+++ b/src/core/rates/rates.cpp
@@ -65,6 +65,18 @@
     }
 }
 
+// Ends an event: what the limiter may hand out never outlasts a pledge given
+// or a roster adopted in the same event.
+void finish(rates_step& step)
+{
+    deliver_local(step);
+    if (step.state.weights_changed)
+    {
+        step.state.weights_changed = false;
+        set_allowances(step);
+    }
+}
+
 // Follows the configuration: which workspaces there are and the share.
 void follow_configuration(rates_step& step)
 {
@@ -144,7 +156,7 @@
     keep_pledges(step);
     deliver_local(step);
     keep_loans(step);
-    deliver_local(step);
+    finish(step);
 }
 
 void rates_on_message(
@@ -155,7 +167,7 @@
     rates_step step{state, inputs, now, random, actions};
     follow_configuration(step);
     decode_and_dispatch(step, message.from, message.payload);
-    deliver_local(step);
+    finish(step);
 }
 
 void rates_on_platform_reply(
@@ -164,7 +176,7 @@
 {
     rates_step step{state, inputs, now, random, actions};
     on_roster_reply(step, reply);
-    deliver_local(step);
+    finish(step);
 }
 
 time_point rates_due(const rates_state& state)
@@ -182,7 +194,7 @@
     keep_loans(step);
     deliver_local(step);
     release_pledges(step);
-    deliver_local(step);
+    finish(step);
 }
 
 steward_office
--- a/src/core/rates/rates.hpp
+++ b/src/core/rates/rates.hpp
@@ -52,6 +52,8 @@
     double share = 0.0;
     time_point last_tick_at{};
     bool leaving = false;
+    // The own weight has shrunk; the limiter must know before the event ends.
+    bool weights_changed = false;
     std::map<workspace_id, workspace> workspaces;
     // Encoded messages to this host itself, handled before a call returns.
     std::deque<std::vector<std::uint8_t>> local;
--- a/src/core/rates/roster_keeping.cpp
+++ b/src/core/rates/roster_keeping.cpp
@@ -234,6 +234,7 @@
         state.grow_at = step.now + giver_term(step.state.settings.removal_time);
     }
     state.known = hosts;
+    step.state.weights_changed = true;
     std::erase_if(
         state.refused,
         [&hosts](const auto& entry)
--- /dev/null
+++ b/tests/support/fleet_faults.hpp
@@ -0,0 +1,194 @@
+// Random faults for the virtual fleet, as a list that a property test can
+// generate, print and shrink; and checks that must hold after each event.
+#pragma once
+
+#include "core/rates/step.hpp"
+#include "support/virtual_fleet.hpp"
+
+#include <cmath>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cyclamenhold::testing_support
+{
+
+enum class fault_kind : std::uint8_t
+{
+    none,
+    crash,
+    restart,
+    pause,
+    cut_data_centre,
+    cut_from_platform,
+    // Messages from the node are lost, those to it arrive.
+    cut_one_way,
+    cut_node,
+    platform_down,
+    platform_loses_answers,
+    heal,
+    demand_at_node,
+    demand_everywhere
+};
+
+template <class Enum>
+constexpr int fault_kind_count = static_cast<int>(Enum::demand_everywhere) + 1;
+
+struct fleet_fault
+{
+    fault_kind kind = fault_kind::none;
+    std::uint32_t node = 0;
+    std::uint32_t milliseconds = 0;
+};
+
+inline std::ostream& operator<<(std::ostream& out, const fleet_fault& fault)
+{
+    return out << "{" << static_cast<int>(fault.kind) << ", " << fault.node
+               << ", " << fault.milliseconds << "}";
+}
+
+// The cuts in force.
+struct fleet_cuts
+{
+    std::set<data_centre_id> data_centres;
+    std::set<host_id> from_platform;
+    std::set<host_id> one_way;
+    std::set<host_id> nodes;
+};
+
+inline virtual_node& node_number(virtual_fleet& fleet, std::size_t number)
+{
+    auto entry = fleet.nodes.begin();
+    std::advance(entry, number % fleet.nodes.size());
+    return *entry->second;
+}
+
+inline void watch_cuts(virtual_fleet& fleet, const fleet_cuts& cuts)
+{
+    fleet.connected = [&cuts](const virtual_node& from, const virtual_node& to)
+    {
+        if (cuts.nodes.contains(from.host) || cuts.nodes.contains(to.host) ||
+            cuts.one_way.contains(from.host))
+        {
+            return false;
+        }
+        return from.data_centre == to.data_centre ||
+               (!cuts.data_centres.contains(from.data_centre) &&
+                !cuts.data_centres.contains(to.data_centre));
+    };
+    fleet.platform_reachable = [&cuts](const virtual_node& node)
+    {
+        return !cuts.from_platform.contains(node.host) &&
+               !cuts.nodes.contains(node.host);
+    };
+}
+
+inline void
+apply_fault(virtual_fleet& fleet, fleet_cuts& cuts, const fleet_fault& fault)
+{
+    virtual_node& node = node_number(fleet, fault.node);
+    switch (fault.kind)
+    {
+    case fault_kind::crash:
+        if (node.up)
+        {
+            fleet.crash(node);
+        }
+        return;
+    case fault_kind::restart:
+        if (node.up)
+        {
+            fleet.crash(node);
+        }
+        fleet.start(node);
+        return;
+    case fault_kind::pause:
+        fleet.pause(node, std::chrono::milliseconds(fault.milliseconds * 5));
+        return;
+    case fault_kind::cut_data_centre:
+        cuts.data_centres.insert(node.data_centre);
+        return;
+    case fault_kind::cut_from_platform:
+        cuts.from_platform.insert(node.host);
+        return;
+    case fault_kind::cut_one_way:
+        cuts.one_way.insert(node.host);
+        return;
+    case fault_kind::cut_node:
+        cuts.nodes.insert(node.host);
+        return;
+    case fault_kind::platform_down:
+        fleet.platform.faults.down = true;
+        return;
+    case fault_kind::platform_loses_answers:
+        fleet.platform.faults.lose_next_answers += 2;
+        return;
+    case fault_kind::heal:
+        cuts = {};
+        fleet.platform.faults = {};
+        return;
+    case fault_kind::none:
+    case fault_kind::demand_at_node:
+    case fault_kind::demand_everywhere:
+        return;
+    }
+}
+
+// Ends all faults and starts what is down.
+inline void end_faults(virtual_fleet& fleet, fleet_cuts& cuts)
+{
+    apply_fault(fleet, cuts, {fault_kind::heal, 0, 0});
+    for (const auto& [host, node] : fleet.nodes)
+    {
+        node->paused_until = fleet.now();
+        if (!node->up)
+        {
+            fleet.start(*node);
+        }
+    }
+}
+
+// The weight of a shard's data centre share that one node uses now: its own,
+// as its limiter has it, and what is pledged to it.
+inline double weight_in_use(
+    const virtual_fleet& fleet, virtual_node& node, workspace_id workspace)
+{
+    const time_point now = fleet.local_now(node);
+    const rates_state& rates = node.control->rates;
+    const auto settings = rates.workspaces.find(workspace);
+    if (settings == rates.workspaces.end())
+    {
+        return 0.0;
+    }
+    double weight = held_weight(rates.pledges.held[shard_of(workspace)], now);
+    const std::scoped_lock lock(node.path->limiter.mutex);
+    const token_bucket& bucket = node.path->limiter.buckets[workspace];
+    if (now < bucket.valid_until)
+    {
+        weight += bucket.rate / (settings->second.rate * rates.share);
+    }
+    return weight;
+}
+
+// The largest sum of weights in use over the data centres.
+inline double
+largest_weight_sum(const virtual_fleet& fleet, workspace_id workspace)
+{
+    std::map<data_centre_id, double> sums;
+    for (const auto& [host, node] : fleet.nodes)
+    {
+        if (node->up)
+        {
+            sums[node->data_centre] += weight_in_use(fleet, *node, workspace);
+        }
+    }
+    double largest = 0.0;
+    for (const auto& [data_centre, sum] : sums)
+    {
+        largest = std::max(largest, sum);
+    }
+    return largest;
+}
+
+} // namespace cyclamenhold::testing_support
