Drive whole calls over the virtual fleet

Cause: claims had been tried in stories only, without request path and gate. Change: virtual_calls runs begin_call to its end over claims, gate and an upstream a host, and a property checks that no key runs twice, that not-run is true, that wrong keys are refused and that calls are delivered again 25 s after the faults. Held-up messages and nodes out of reach join the faults.

--- a/tests/core/claims_test.cpp
+++ b/tests/core/claims_test.cpp
@@ -194,7 +194,8 @@
     virtual_node& node = claims.node(0);
     const std::string key = claims.ticket(node);
     SCOPED_TRACE("with its data centre cut to pieces nobody can claim");
-    claims.fleet->connected = [](const virtual_node&, const virtual_node&)
+    claims.fleet->network.connected =
+        [](const virtual_node&, const virtual_node&)
     {
         return false;
     };
--- a/tests/core/fleet_fuzz_test.cpp
+++ b/tests/core/fleet_fuzz_test.cpp
@@ -1,7 +1,11 @@
 #include "support/fleet_faults.hpp"
+#include "support/virtual_calls.hpp"
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cstdio>
+
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
@@ -55,7 +59,8 @@
 {
     fleet_options options;
     options.seed = seed;
-    options.links = {0.01, 0.02, 200us, 3ms};
+    options.links = {0.01, 0.02, 200us, 3ms, 0.0005};
+    options.given_members = seed % 4 != 0;
     options.rates.removal_time = removal_time;
     virtual_fleet fleet(options);
     fleet.settings = std::make_shared<const configuration>(
@@ -120,5 +125,131 @@
             faults, seed, quick_removal ? duration(14s) : duration(60s)) == "");
 }
 
+// The keys of one story, with the time of their first use.
+struct used_key
+{
+    std::string text;
+    time_point first_used{};
+};
+
+std::string new_key(virtual_fleet& fleet, std::uint64_t number)
+{
+    virtual_node& node = node_number(fleet, random_below(fleet.random(), 12));
+    const std::uint64_t choice = random_below(fleet.random(), 10);
+    if (choice < 6 && node.up)
+    {
+        return claims_issue_ticket(
+            node.control->claims, inputs_of_claims(*node.control), node.random);
+    }
+    if (choice < 9)
+    {
+        const auto ms = static_cast<unsigned long long>(fleet.wall_ms(node));
+        std::array<char, 64> text{};
+        std::snprintf(
+            text.data(), text.size(), "%08llx-%04llx-7000-8000-%012llx",
+            ms >> 16, ms & 0xffff, static_cast<unsigned long long>(number));
+        return text.data();
+    }
+    return "order-" + std::to_string(number);
+}
+
+// A caller sends a new request, or one again that was sent before.
+void call_somewhere(
+    virtual_fleet& fleet, virtual_calls& calls, std::vector<used_key>& keys)
+{
+    random_source& random = fleet.random();
+    virtual_node& node = node_number(fleet, random_below(random, 12));
+    if (random_below(random, 20) == 0)
+    {
+        calls.begin(node, "", stranger_key);
+        return;
+    }
+    // Plain keys are only remembered for a time, so they are not used longer.
+    constexpr duration repeat_time = 10s;
+    std::erase_if(
+        keys,
+        [&fleet, repeat_time](const used_key& key)
+        {
+            return key.first_used + repeat_time < fleet.now() &&
+                   key.text.starts_with("order-");
+        });
+    if (!keys.empty() && random_below(random, 3) == 0)
+    {
+        calls.begin(
+            node, keys[random_below(random, keys.size())].text, museum_key);
+        return;
+    }
+    const std::string key = new_key(fleet, random() >> 16);
+    if (!key.empty())
+    {
+        keys.push_back({key, fleet.now()});
+    }
+    calls.begin(node, key, museum_key);
+}
+
+std::string
+run_claims_story(const std::vector<fleet_fault>& faults, std::uint64_t seed)
+{
+    fleet_options options;
+    options.seed = seed;
+    options.links = {0.01, 0.02, 200us, 3ms, 0.0005};
+    options.given_members = seed % 4 != 0;
+    options.claims.retention = 30s;
+    options.claims.claim_term = 4s;
+    virtual_fleet fleet(options);
+    fleet.settings = std::make_shared<const configuration>(
+        with_bookings(rates_configuration(options, 60.0, 18.0)));
+    virtual_calls calls(fleet);
+    fleet_cuts cuts;
+    watch_cuts(fleet, cuts);
+    std::vector<used_key> keys;
+    fleet.start_all();
+    fleet.run_for(2s);
+    for (const auto& fault : faults)
+    {
+        apply_fault(fleet, cuts, fault);
+        const time_point end =
+            fleet.now() + std::chrono::milliseconds(fault.milliseconds);
+        while (fleet.now() < end && calls.violation.empty())
+        {
+            call_somewhere(fleet, calls, keys);
+            fleet.run_for(20ms);
+        }
+        if (!calls.violation.empty())
+        {
+            return calls.violation;
+        }
+    }
+    end_faults(fleet, cuts);
+    fleet.run_for(25s);
+    const std::uint64_t before = calls.delivered;
+    for (int number = 0; number < 50; ++number)
+    {
+        virtual_node& node = node_number(fleet, number);
+        calls.begin(
+            node,
+            claims_issue_ticket(
+                node.control->claims, inputs_of_claims(*node.control),
+                node.random),
+            museum_key);
+        fleet.run_for(20ms);
+    }
+    fleet.run_for(5s);
+    if (calls.violation.empty() && calls.delivered - before < 45)
+    {
+        return "only " + std::to_string(calls.delivered - before) +
+               " of 50 delivered 25 s after the faults ended";
+    }
+    return calls.violation;
+}
+
+RC_GTEST_PROP(fleet_fuzz, never_repeat_holds_under_faults, ())
+{
+    const auto faults =
+        *rc::gen::container<std::vector<fleet_fault>>(arbitrary_fault());
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    RC_ASSERT(run_claims_story(faults, seed) == "");
+}
+
 } // namespace
 } // namespace cyclamenhold
--- a/tests/support/fleet_faults.hpp
+++ b/tests/support/fleet_faults.hpp
@@ -66,7 +66,8 @@
 
 inline void watch_cuts(virtual_fleet& fleet, const fleet_cuts& cuts)
 {
-    fleet.connected = [&cuts](const virtual_node& from, const virtual_node& to)
+    fleet.network.connected =
+        [&cuts](const virtual_node& from, const virtual_node& to)
     {
         if (cuts.nodes.contains(from.host) || cuts.nodes.contains(to.host) ||
             cuts.one_way.contains(from.host))
@@ -105,6 +106,7 @@
         return;
     case fault_kind::pause:
         fleet.pause(node, std::chrono::milliseconds(fault.milliseconds * 5));
+        node.out_of_reach_since = fleet.now();
         return;
     case fault_kind::cut_data_centre:
         cuts.data_centres.insert(node.data_centre);
@@ -114,9 +116,11 @@
         return;
     case fault_kind::cut_one_way:
         cuts.one_way.insert(node.host);
+        node.out_of_reach_since = fleet.now();
         return;
     case fault_kind::cut_node:
         cuts.nodes.insert(node.host);
+        node.out_of_reach_since = fleet.now();
         return;
     case fault_kind::platform_down:
         fleet.platform.faults.down = true;
@@ -127,6 +131,10 @@
     case fault_kind::heal:
         cuts = {};
         fleet.platform.faults = {};
+        for (const auto& [host, other] : fleet.nodes)
+        {
+            other->out_of_reach_since = time_point::max();
+        }
         return;
     case fault_kind::none:
     case fault_kind::demand_at_node:
--- /dev/null
+++ b/tests/support/virtual_calls.hpp
@@ -0,0 +1,401 @@
+// Whole calls over the virtual fleet: callers, request paths, claims, the last
+// gate and an upstream on each host, with a record of what ran.
+#pragma once
+
+#include "core/gate/gate.hpp"
+#include "support/virtual_fleet.hpp"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace cyclamenhold::testing_support
+{
+
+// One request of a caller, followed to its end.
+struct virtual_call
+{
+    std::uint64_t id = 0;
+    host_id entry = host_id::none;
+    std::uint64_t entry_life = 0;
+    call_request request;
+    call_state state;
+    // The attempt that is under way; answers of earlier ones are late.
+    std::uint32_t attempt = 0;
+    std::uint32_t runs = 0;
+    bool ended = false;
+    refusal reason = refusal::none;
+    outcome told = outcome::unknown;
+};
+
+struct upstream_run
+{
+    host_id host = host_id::none;
+    std::uint64_t life = 0;
+    std::uint64_t call = 0;
+    std::uint32_t attempt = 0;
+};
+
+inline constexpr std::string_view museum_key = "cyk_m1_museum-secret";
+inline constexpr std::string_view stranger_key = "cyk_m1_guessed-secret";
+
+// Adds the workspace, key and route that the calls use.
+[[nodiscard]] inline configuration with_bookings(configuration current)
+{
+    current.workspaces.push_back({"museum", 5000.0, 1000.0});
+    workspace_key key;
+    key.id = "m1";
+    key.workspace = "museum";
+    key.digest = digest_of_secret("fleet", "museum-secret");
+    current.keys.push_back(key);
+    route bookings;
+    bookings.name = "book";
+    bookings.path_prefix = "/book";
+    bookings.service = "bookings";
+    bookings.never_repeat = true;
+    current.routes.push_back(bookings);
+    return current;
+}
+
+class virtual_calls
+{
+public:
+    explicit virtual_calls(virtual_fleet& fleet) : fleet_(fleet)
+    {
+        fleet.on_started = [this](virtual_node& node)
+        {
+            set_up(node);
+        };
+        fleet.on_token =
+            [this](virtual_node& node, token_waiter waiter, bool admitted)
+        {
+            auto& call = calls.at(waiter);
+            step(
+                node, call,
+                call_on_token(
+                    *node.path, call.state, admitted, fleet_.local_now(node),
+                    node.random));
+        };
+        fleet.on_claim = [this](virtual_node& node, const claim_answer& answer)
+        {
+            auto& call = calls.at(answer.token);
+            step(
+                node, call,
+                call_on_claim(
+                    *node.path, call.state, answer, fleet_.local_now(node),
+                    node.random));
+        };
+    }
+
+    std::map<std::uint64_t, virtual_call> calls;
+    // How often each idempotency key has run, and each call.
+    std::map<std::string, std::uint32_t> runs_of_key;
+    std::string violation;
+    std::uint64_t delivered = 0;
+
+    // A caller sends a request with this idempotency key to a node.
+    void begin(
+        virtual_node& node, const std::string& idempotency_key,
+        std::string_view key)
+    {
+        if (!node.up || fleet_.paused(node))
+        {
+            return;
+        }
+        const std::uint64_t id = ++last_id_;
+        virtual_call& call = calls[id];
+        call.id = id;
+        call.entry = node.host;
+        call.entry_life = node.life;
+        call.state.id = id;
+        call.request.method = "POST";
+        call.request.target = "/book";
+        call.request.key = std::string(key);
+        call.request.idempotency_key = idempotency_key;
+        step(
+            node, call,
+            begin_call(
+                *node.path, call.state, call.request, fleet_.local_now(node),
+                node.random));
+        if (key == stranger_key &&
+            (!call.ended || call.reason != refusal::unauthenticated))
+        {
+            violation = "a wrong key was accepted";
+        }
+    }
+
+private:
+    void set_up(virtual_node& node)
+    {
+        node.path->fleet_secret = "fleet";
+        node.path->tables.publish(std::make_unique<const request_tables>(
+            build_request_tables(*fleet_.settings)));
+        std::vector<upstream_location> locations;
+        for (const auto& [host, other] : fleet_.nodes)
+        {
+            locations.push_back(
+                {host, other->life, other->data_centre, upstream()});
+        }
+        node.path->routing.publish(std::make_unique<const routing_view>(
+            build_routing_view(locations, node.data_centre, routing_view{})));
+        gate_state gate;
+        (void)gate_set_upstream(gate, upstream(), fleet_.local_now(node));
+        gates_[node.host] = std::move(gate);
+    }
+
+    static attempt_result
+    result_of(attempt_status status, refusal reason, outcome result)
+    {
+        attempt_result ended;
+        ended.status = status;
+        ended.reason = reason;
+        ended.result = result;
+        return ended;
+    }
+
+    static upstream_record upstream()
+    {
+        return {"bookings", upstream_state::serving, 50, 100, 1};
+    }
+
+    bool entry_lives(const virtual_call& call) const
+    {
+        const virtual_node& node = *fleet_.nodes.at(call.entry);
+        return node.up && node.life == call.entry_life;
+    }
+
+    void step(virtual_node& node, virtual_call& call, const call_step& next)
+    {
+        switch (next.kind)
+        {
+        case call_step_kind::wait_for_token:
+            return;
+        case call_step_kind::ask_claim:
+            fleet_.act(
+                node,
+                [&](control_state& control, time_point now,
+                    random_source& random, control_actions& actions)
+                {
+                    claims_ask(
+                        control.claims, inputs_of_claims(control),
+                        next.question, now, random, actions);
+                });
+            return;
+        case call_step_kind::attempt:
+            send_attempt(node, call, next);
+            return;
+        case call_step_kind::refuse:
+            end(node, call, next.reason, next.result);
+            return;
+        case call_step_kind::answer_stored:
+            check_reply(call, next.reply.body);
+            end(node, call, refusal::none, outcome::ran);
+            return;
+        case call_step_kind::deliver:
+            ++delivered;
+            end(node, call, refusal::none, outcome::ran);
+            return;
+        }
+    }
+
+    static std::string reply_of(const virtual_call& call)
+    {
+        return "booked " + call.request.idempotency_key;
+    }
+
+    void check_reply(const virtual_call& call, const std::string& body)
+    {
+        if (body != reply_of(call))
+        {
+            violation = "reply of another request: " + body;
+        }
+    }
+
+    void
+    end(virtual_node& node, virtual_call& call, refusal reason, outcome told)
+    {
+        call.ended = true;
+        call.reason = reason;
+        call.told = told;
+        if (told == outcome::not_run && call.runs > 0)
+        {
+            violation = "not-run was said of a request that ran";
+        }
+        end_call(*node.path, call.state, fleet_.local_now(node));
+        if (call.state.context.claim.steward_epoch == 0)
+        {
+            return;
+        }
+        claim_completion completion;
+        completion.grant = call.state.context.claim;
+        completion.workspace = call.state.context.workspace;
+        completion.idempotency_key = call.request.idempotency_key;
+        completion.result = told;
+        completion.reply = {200, "text/plain", reply_of(call)};
+        fleet_.act(
+            node,
+            [&](control_state& control, time_point now, random_source& random,
+                control_actions& actions)
+            {
+                claims_complete(
+                    control.claims, inputs_of_claims(control), completion, now,
+                    random, actions);
+            });
+    }
+
+    void
+    send_attempt(virtual_node& node, virtual_call& call, const call_step& next)
+    {
+        const std::uint32_t attempt = ++call.attempt;
+        virtual_node& target = *fleet_.nodes.at(next.target.location.host);
+        request_context context = next.context;
+        const time_point local = fleet_.local_now(node);
+        const duration claim_left = context.claim.valid_until - local;
+        const duration left = context.deadline - local;
+        fleet_.network.transmit(
+            node, target, transport::stream,
+            [this, &target, id = call.id, attempt, context, claim_left, left]
+            {
+                arrive(target, id, attempt, context, claim_left, left);
+            });
+        fleet_.at(
+            fleet_.now() + std::min(left, duration(2s)),
+            [this, id = call.id, attempt]
+            {
+                finish_attempt(
+                    id, attempt,
+                    result_of(
+                        attempt_status::timed_out, refusal::none,
+                        outcome::unknown));
+            });
+    }
+
+    void arrive(
+        virtual_node& target, std::uint64_t id, std::uint32_t attempt,
+        request_context context, duration claim_left, duration left)
+    {
+        const time_point local = fleet_.local_now(target);
+        context.claim.valid_until = local + claim_left;
+        context.deadline = local + left;
+        if (!claims_accept_at_gate(
+                target.control->claims, context.claim, local))
+        {
+            refuse(target, id, attempt, refusal::claim_unavailable);
+            return;
+        }
+        const gate_ticket ticket = ++last_ticket_;
+        runs_[ticket] = {target.host, target.life, id, attempt};
+        take(
+            target,
+            gate_offer(gates_[target.host], {ticket, context, local}, local));
+    }
+
+    void take(virtual_node& target, const gate_verdicts& verdicts)
+    {
+        for (const auto& verdict : verdicts)
+        {
+            const upstream_run run = runs_.at(verdict.ticket);
+            if (verdict.reason != refusal::none)
+            {
+                refuse(target, run.call, run.attempt, verdict.reason);
+                continue;
+            }
+            note_run(run);
+            const duration service = std::chrono::milliseconds(
+                5 + random_below(fleet_.random(), 60));
+            fleet_.at(
+                fleet_.now() + service,
+                [this, ticket = verdict.ticket]
+                {
+                    finish_run(ticket);
+                });
+        }
+    }
+
+    void note_run(const upstream_run& run)
+    {
+        virtual_call& call = calls.at(run.call);
+        ++call.runs;
+        if (call.ended && call.told == outcome::not_run)
+        {
+            violation = "a request ran after not-run was said";
+        }
+        const std::string& key = call.request.idempotency_key;
+        if (call.runs > 1 || (!key.empty() && ++runs_of_key[key] > 1))
+        {
+            violation = "ran twice: " + key;
+        }
+    }
+
+    void finish_run(gate_ticket ticket)
+    {
+        const upstream_run run = runs_.at(ticket);
+        virtual_node& target = *fleet_.nodes.at(run.host);
+        if (!target.up || target.life != run.life)
+        {
+            return;
+        }
+        take(
+            target, gate_finish(
+                        gates_[run.host], ticket, gate_result::replied,
+                        fleet_.local_now(target)));
+        answer(
+            target, run.call, run.attempt,
+            result_of(attempt_status::replied, refusal::none, outcome::ran));
+    }
+
+    void refuse(
+        virtual_node& target, std::uint64_t id, std::uint32_t attempt,
+        refusal reason)
+    {
+        answer(
+            target, id, attempt,
+            result_of(attempt_status::refused, reason, outcome::not_run));
+    }
+
+    void answer(
+        virtual_node& target, std::uint64_t id, std::uint32_t attempt,
+        const attempt_result& result)
+    {
+        fleet_.network.transmit(
+            target, *fleet_.nodes.at(calls.at(id).entry), transport::stream,
+            [this, id, attempt, result]
+            {
+                finish_attempt(id, attempt, result);
+            });
+    }
+
+    void finish_attempt(
+        std::uint64_t id, std::uint32_t attempt, const attempt_result& result)
+    {
+        virtual_call& call = calls.at(id);
+        virtual_node& node = *fleet_.nodes.at(call.entry);
+        if (call.ended || call.attempt != attempt || !entry_lives(call))
+        {
+            return;
+        }
+        if (fleet_.paused(node))
+        {
+            fleet_.at(
+                node.paused_until,
+                [this, id, attempt, result]
+                {
+                    finish_attempt(id, attempt, result);
+                });
+            return;
+        }
+        step(
+            node, call,
+            call_on_attempt(
+                *node.path, call.state, result, fleet_.local_now(node),
+                node.random));
+    }
+
+    virtual_fleet& fleet_;
+    std::uint64_t last_id_ = 0;
+    gate_ticket last_ticket_ = 0;
+    std::map<host_id, gate_state> gates_;
+    std::map<gate_ticket, upstream_run> runs_;
+};
+
+} // namespace cyclamenhold::testing_support
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -3,7 +3,7 @@
 // and restarts, and clocks that drift. The same seed gives the same run.
 #pragma once
 
-#include "support/virtual_node.hpp"
+#include "support/virtual_network.hpp"
 
 namespace cyclamenhold::testing_support
 {
@@ -12,65 +12,49 @@
 {
 public:
     explicit virtual_fleet(const fleet_options& options)
-        : options_(options), random_(options.seed)
+        : network(options.seed, options.links),
+          options_(options),
+          random_(options.seed)
     {
-        for (std::uint32_t centre = 0; centre < options.data_centres; ++centre)
-        {
-            const std::string name = "dc" + std::to_string(centre);
-            for (std::uint32_t host = 0; host < options.hosts_each; ++host)
-            {
-                auto node = std::make_unique<virtual_node>();
-                node->host = make_host_id(
-                    0x0a000000 | (centre << 16) | (host + 1), 7400);
-                node->data_centre = data_centre_id_of(name);
-                node->data_centre_name = name;
-                node->drift = options.largest_drift *
-                              (2.0 * random_fraction(random_) - 1.0);
-                node->offset =
-                    std::chrono::milliseconds(random_below(random_, 1'000'000));
-                node->wall_offset_ms = random_below(random_, 2000);
-                nodes.emplace(node->host, std::move(node));
-            }
-        }
+        nodes = make_nodes(options, random_);
     }
 
-    std::map<host_id, std::unique_ptr<virtual_node>> nodes;
+    virtual_nodes nodes;
     key_value_store platform;
     std::map<workspace_id, rate_oracle> oracles;
     std::shared_ptr<const configuration> settings =
         std::make_shared<const configuration>();
-    // True when a message may pass; tests set partitions here.
-    std::function<bool(const virtual_node&, const virtual_node&)> connected;
     std::function<bool(const virtual_node&)> platform_reachable;
     // Called after each event of a node.
     std::function<void(virtual_node&)> after_step;
+    // Called when a node has started, and when a waiter that is not the
+    // fleet's own got its verdict.
+    std::function<void(virtual_node&)> on_started;
+    std::function<void(virtual_node&, token_waiter, bool)> on_token;
     // Called when a claim was answered.
     std::function<void(virtual_node&, const claim_answer&)> on_claim;
 
+    virtual_network network;
+
     [[nodiscard]] time_point now() const
     {
-        return now_;
+        return network.now();
     }
     [[nodiscard]] time_point local_now(const virtual_node& node) const
     {
-        return local_time(node, now_);
+        return local_time(node, now());
     }
     [[nodiscard]] std::uint64_t wall_ms(const virtual_node& node) const
     {
-        constexpr std::uint64_t epoch_ms = 1'796'000'000'000;
-        const auto local = now_.time_since_epoch();
-        return epoch_ms + node.wall_offset_ms +
-               static_cast<std::uint64_t>(
-                   to_milliseconds(duration(static_cast<duration::rep>(
-                       static_cast<double>(local.count()) *
-                       (1.0 + node.drift)))));
+        return wall_time_ms(node, now());
     }
 
     void start(virtual_node& node)
     {
         node.up = true;
         ++node.life;
-        node.paused_until = now_;
+        node.paused_until = now();
+        node.out_of_reach_since = time_point::max();
         node.random.seed(random_());
         node.path = std::make_unique<request_path>();
         node.path->self = node.host;
@@ -104,22 +88,18 @@
             *node.control, chosen, node.path->limiter, wall_ms(node),
             local_now(node), node.random, actions);
         carry_out(node, actions);
-        schedule_tick(node, now_);
-    }
-
-    void start_all()
-    {
-        for (const auto& [host, node] : nodes)
+        if (on_started)
         {
-            start(*node);
+            on_started(node);
         }
+        schedule_tick(node, now());
     }
 
     // Nothing is kept: the state is gone, messages on their way may arrive.
     void crash(virtual_node& node)
     {
         node.up = false;
-        node.down_since = now_;
+        node.down_since = now();
         store_forget_caller(platform, caller_of(node));
         for (const auto& [waiter, workspace] : node.waiting)
         {
@@ -132,7 +112,7 @@
 
     void pause(virtual_node& node, duration time)
     {
-        node.paused_until = std::max(node.paused_until, now_ + time);
+        node.paused_until = std::max(node.paused_until, now() + time);
     }
 
     // One request of a workspace arrives at a node.
@@ -150,7 +130,7 @@
             node.path->limiter, workspace, waiter, local + patience, local);
         if (answer.verdict == token_verdict::admitted)
         {
-            admit(workspace);
+            note_admission(oracles[workspace], now());
         }
         else if (answer.verdict == token_verdict::refused)
         {
@@ -178,44 +158,36 @@
 
     void run_for(duration time)
     {
-        run_until(now_ + time);
-    }
-
-    void run_until(time_point until)
-    {
+        const time_point until = now() + time;
         for (;;)
         {
             const time_point store_time = store_due(platform);
-            const time_point event_time = events_.empty()
-                                              ? time_point::max()
-                                              : events_.begin()->first.first;
-            const time_point next = std::min(store_time, event_time);
-            if (next > until)
+            const time_point event_time = network.next_event();
+            if (std::min(store_time, event_time) > until)
             {
                 break;
             }
-            now_ = std::max(now_, next);
+            network.advance_to(std::min(store_time, event_time));
             if (store_time <= event_time)
             {
                 poll_platform();
-                continue;
             }
-            auto entry = events_.extract(events_.begin());
-            entry.mapped()();
+            else
+            {
+                network.run_next();
+            }
         }
-        now_ = until;
+        network.advance_to(until);
     }
 
     void at(time_point when, std::function<void()> function)
     {
-        events_.emplace(
-            std::pair(std::max(when, now_), ++last_event_),
-            std::move(function));
+        network.at(when, std::move(function));
     }
 
     [[nodiscard]] bool paused(const virtual_node& node) const
     {
-        return node.paused_until > now_;
+        return node.paused_until > now();
     }
 
     [[nodiscard]] random_source& random()
@@ -223,43 +195,18 @@
         return random_;
     }
 
-private:
-    static store_caller caller_of(const virtual_node& node)
-    {
-        return (static_cast<std::uint64_t>(node.host) << 12) | node.life;
-    }
-
-    static time_point local_time(const virtual_node& node, time_point when)
-    {
-        const auto true_time = when.time_since_epoch();
-        return time_point(
-            node.offset +
-            duration(static_cast<duration::rep>(
-                static_cast<double>(true_time.count()) * (1.0 + node.drift))));
-    }
-
-    time_point true_time(const virtual_node& node, time_point local) const
+    void start_all()
     {
-        if (local == time_point::max())
+        for (const auto& [host, node] : nodes)
         {
-            return now_ + 1h;
+            start(*node);
         }
-        const auto since = local.time_since_epoch() - node.offset;
-        return time_point(duration(static_cast<duration::rep>(
-                   static_cast<double>(since.count()) / (1.0 + node.drift)))) +
-               1ns;
     }
 
-    void admit(workspace_id workspace)
+private:
+    static store_caller caller_of(const virtual_node& node)
     {
-        rate_oracle& oracle = oracles[workspace];
-        ++oracle.admitted;
-        oracle.level = std::max(
-            0.0, oracle.level - oracle.rate * to_seconds(now_ - oracle.at));
-        oracle.at = now_;
-        oracle.level += 1.0;
-        oracle.highest_excess =
-            std::max(oracle.highest_excess, oracle.level - oracle.burst);
+        return (static_cast<std::uint64_t>(node.host) << 12) | node.life;
     }
 
     void schedule_tick(virtual_node& node, time_point when)
@@ -278,39 +225,11 @@
                }
                tick(node);
                const time_point due =
-                   true_time(node, control_due(*node.control));
-               schedule_tick(node, std::max(due, now_ + 1ms));
+                   true_time(node, control_due(*node.control), now());
+               schedule_tick(node, std::max(due, now() + 1ms));
            });
     }
 
-    void show_members(virtual_node& node)
-    {
-        auto& view = node.control->membership;
-        bool changed = false;
-        for (const auto& [host, other] : nodes)
-        {
-            if (host == node.host || other->life == 0)
-            {
-                continue;
-            }
-            member& entry = view.members[host];
-            const bool dead =
-                !other->up && now_ - other->down_since > options_.detection;
-            const member_state state =
-                dead ? member_state::dead : member_state::alive;
-            const auto life = other->control
-                                  ? other->control->membership.self_incarnation
-                                  : entry.host_incarnation;
-            changed = changed || entry.host != host || entry.state != state ||
-                      entry.host_incarnation != life;
-            entry.host = host;
-            entry.state = state;
-            entry.data_centre = other->data_centre;
-            entry.host_incarnation = life;
-        }
-        view.version += changed ? 1 : 0;
-    }
-
     void tick(virtual_node& node)
     {
         node.wants_tick = false;
@@ -320,7 +239,7 @@
         control_actions actions;
         if (options_.given_members)
         {
-            show_members(node);
+            show_members(nodes, node, options_.detection, now());
             control.wall_clock_ms = wall_ms(node);
             rates_tick(
                 control.rates, inputs_of_rates(control), local, node.random,
@@ -343,13 +262,11 @@
             settle_waiters(node.path->limiter, local_now(node));
         for (const token_waiter waiter : results.admitted)
         {
-            admit(node.waiting.at(waiter));
-            node.waiting.erase(waiter);
+            settle(node, waiter, true);
         }
         for (const token_waiter waiter : results.expired)
         {
-            ++oracles[node.waiting.at(waiter)].refused;
-            node.waiting.erase(waiter);
+            settle(node, waiter, false);
         }
         std::vector<claim_answer> answers;
         answers.swap(node.control->claims.answers);
@@ -366,6 +283,29 @@
         }
     }
 
+    void settle(virtual_node& node, token_waiter waiter, bool admitted)
+    {
+        const auto found = node.waiting.find(waiter);
+        if (found == node.waiting.end())
+        {
+            if (on_token)
+            {
+                on_token(node, waiter, admitted);
+            }
+            return;
+        }
+        const workspace_id workspace = found->second;
+        node.waiting.erase(found);
+        if (admitted)
+        {
+            note_admission(oracles[workspace], now());
+        }
+        else
+        {
+            ++oracles[workspace].refused;
+        }
+    }
+
     void carry_out(virtual_node& node, control_actions& actions)
     {
         for (auto& message : actions.messages)
@@ -382,14 +322,14 @@
                 reply.client = call.client;
                 reply.call_id = call.call_id;
                 reply.status = platform_status::unavailable;
-                at(now_ + call.timeout,
+                at(now() + call.timeout,
                    [this, &node, life = node.life, reply]
                    {
                        reply_to(node, life, reply);
                    });
                 continue;
             }
-            store_call(platform, caller_of(node), call, now_);
+            store_call(platform, caller_of(node), call, now());
         }
     }
 
@@ -401,56 +341,13 @@
             return;
         }
         virtual_node& to = *found->second;
-        const link_faults& faults = options_.links;
-        if (random_fraction(random_) < faults.loss)
-        {
-            return;
-        }
-        const auto delay = [&]
-        {
-            return faults.shortest_delay +
-                   duration(random_below(
-                       random_,
-                       static_cast<std::uint64_t>(
-                           (faults.longest_delay - faults.shortest_delay)
-                               .count()) +
-                           1));
-        };
-        time_point when = now_ + delay();
-        if (message.via == transport::stream)
-        {
-            time_point& last = last_delivery_[{from.host, to.host}];
-            when = std::max(when, last + 1ns);
-            last = when;
-        }
-        else if (random_fraction(random_) < faults.duplication)
-        {
-            deliver_at(now_ + delay() * 3, from, to, message);
-        }
-        deliver_at(when, from, to, std::move(message));
-    }
-
-    void deliver_at(
-        time_point when, virtual_node& from, virtual_node& to,
-        outgoing_message message)
-    {
-        at(when,
-           [this, &from, &to, message = std::move(message)]() mutable
-           {
-               if (connected && !connected(from, to))
-               {
-                   return;
-               }
-               if (paused(to))
-               {
-                   deliver_at(to.paused_until, from, to, std::move(message));
-                   return;
-               }
-               if (to.up)
-               {
-                   receive(from, to, message);
-               }
-           });
+        const auto via = message.via;
+        network.transmit(
+            from, to, via,
+            [this, &from, &to, message = std::move(message)]
+            {
+                receive(from, to, message);
+            });
     }
 
     void receive(
@@ -467,7 +364,7 @@
 
     void poll_platform()
     {
-        for (const auto& answer : store_poll(platform, now_))
+        for (const auto& answer : store_poll(platform, now()))
         {
             for (const auto& [host, node] : nodes)
             {
@@ -504,12 +401,7 @@
 
     fleet_options options_;
     random_source random_;
-    time_point now_{1s};
-    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>>
-        events_;
-    std::uint64_t last_event_ = 0;
     token_waiter last_waiter_ = 0;
-    std::map<std::pair<host_id, host_id>, time_point> last_delivery_;
 };
 
 } // namespace cyclamenhold::testing_support
--- a/tests/support/virtual_node.hpp
+++ b/tests/support/virtual_node.hpp
@@ -25,6 +25,9 @@
     double duplication = 0.0;
     duration shortest_delay = 500us;
     duration longest_delay = 1500us;
+    // A message, and on a stream all behind it, is held up for some time.
+    double late = 0.0;
+    duration longest_late = 3s;
 };
 
 struct fleet_options
@@ -55,7 +58,8 @@
     std::uint64_t life = 0;
     time_point down_since{};
     time_point paused_until{};
-    // Not reached before the pause ends, in order.
+    // Paused or cut off since then; others see it as dead.
+    time_point out_of_reach_since = time_point::max();
     random_source random;
     std::unique_ptr<request_path> path;
     std::unique_ptr<control_state> control;
@@ -80,6 +84,77 @@
     std::uint64_t refused = 0;
 };
 
+inline void note_admission(rate_oracle& oracle, time_point now)
+{
+    ++oracle.admitted;
+    oracle.level =
+        std::max(0.0, oracle.level - oracle.rate * to_seconds(now - oracle.at));
+    oracle.at = now;
+    oracle.level += 1.0;
+    oracle.highest_excess =
+        std::max(oracle.highest_excess, oracle.level - oracle.burst);
+}
+
+using virtual_nodes = std::map<host_id, std::unique_ptr<virtual_node>>;
+
+[[nodiscard]] inline virtual_nodes
+make_nodes(const fleet_options& options, random_source& random)
+{
+    virtual_nodes nodes;
+    for (std::uint32_t centre = 0; centre < options.data_centres; ++centre)
+    {
+        const std::string name = "dc" + std::to_string(centre);
+        for (std::uint32_t host = 0; host < options.hosts_each; ++host)
+        {
+            auto node = std::make_unique<virtual_node>();
+            node->host =
+                make_host_id(0x0a000000 | (centre << 16) | (host + 1), 7400);
+            node->data_centre = data_centre_id_of(name);
+            node->data_centre_name = name;
+            node->drift =
+                options.largest_drift * (2.0 * random_fraction(random) - 1.0);
+            node->offset =
+                std::chrono::milliseconds(random_below(random, 1'000'000));
+            node->wall_offset_ms = random_below(random, 2000);
+            nodes.emplace(node->host, std::move(node));
+        }
+    }
+    return nodes;
+}
+
+// Gives a node the members it would have learned, a host that is down being
+// seen as dead after `detection`.
+inline void show_members(
+    const virtual_nodes& nodes, virtual_node& node, duration detection,
+    time_point now)
+{
+    auto& view = node.control->membership;
+    bool changed = false;
+    for (const auto& [host, other] : nodes)
+    {
+        if (host == node.host || other->life == 0)
+        {
+            continue;
+        }
+        member& entry = view.members[host];
+        const time_point away_since =
+            other->up ? other->out_of_reach_since : other->down_since;
+        const bool dead = away_since < now && now - away_since > detection;
+        const member_state state =
+            dead ? member_state::dead : member_state::alive;
+        const auto life = other->control
+                              ? other->control->membership.self_incarnation
+                              : entry.host_incarnation;
+        changed = changed || entry.host != host || entry.state != state ||
+                  entry.host_incarnation != life;
+        entry.host = host;
+        entry.state = state;
+        entry.data_centre = other->data_centre;
+        entry.host_incarnation = life;
+    }
+    view.version += changed ? 1 : 0;
+}
+
 // A configuration with one workspace a pair of rate and burst, and all data
 // centres of the options with equal weights.
 [[nodiscard]] inline configuration
