--- a/tests/support/fleet_faults.hpp
+++ b/tests/support/fleet_faults.hpp
@@ -147,6 +147,7 @@
 inline void end_faults(virtual_fleet& fleet, fleet_cuts& cuts)
 {
     apply_fault(fleet, cuts, {fault_kind::heal, 0, 0});
+    fleet.network.set_faults({});
     for (const auto& [host, node] : fleet.nodes)
     {
         node->paused_until = fleet.now();
--- a/tests/support/virtual_network.hpp
+++ b/tests/support/virtual_network.hpp
@@ -51,6 +51,11 @@
     // True when a message may pass; tests set partitions here.
     std::function<bool(const virtual_node&, const virtual_node&)> connected;
 
+    void set_faults(const link_faults& faults)
+    {
+        faults_ = faults;
+    }
+
     [[nodiscard]] time_point now() const
     {
         return now_;
--- a/tests/support/virtual_node.hpp
+++ b/tests/support/virtual_node.hpp
@@ -122,6 +122,15 @@
     return nodes;
 }
 
+// When the node's control functions are due.
+[[nodiscard]] inline time_point
+due_of(const control_state& control, bool given_members)
+{
+    return given_members
+               ? std::min(rates_due(control.rates), claims_due(control.claims))
+               : control_due(control);
+}
+
 // Gives a node the members it would have learned, a host that is down being
 // seen as dead after `detection`.
 inline void show_members(
@@ -171,4 +180,25 @@
     return current;
 }
 
+inline constexpr std::string_view museum_key = "cyk_m1_museum-secret";
+inline constexpr std::string_view stranger_key = "cyk_m1_guessed-secret";
+
+// Adds the workspace, key and route that the calls use.
+[[nodiscard]] inline configuration with_bookings(configuration current)
+{
+    current.workspaces.push_back({"museum", 5000.0, 1000.0});
+    workspace_key key;
+    key.id = "m1";
+    key.workspace = "museum";
+    key.digest = digest_of_secret("fleet", "museum-secret");
+    current.keys.push_back(key);
+    route bookings;
+    bookings.name = "book";
+    bookings.path_prefix = "/book";
+    bookings.service = "bookings";
+    bookings.never_repeat = true;
+    current.routes.push_back(bookings);
+    return current;
+}
+
 } // namespace cyclamenhold::testing_support
