--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -13,8 +13,8 @@
 public:
     explicit virtual_fleet(const fleet_options& options)
         : network(options.seed, options.links),
-          options_(options),
-          random(options.seed)
+          random(options.seed),
+          options_(options)
     {
         nodes = make_nodes(options, random);
     }
