--- /dev/null
+++ b/fuzz/intent_fuzz.cpp
@@ -0,0 +1,33 @@
+// Any text is read as operations or refused with findings; what was read is
+// written and read back alike, and applies or is refused.
+#include "core/intent/operations.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    using namespace cyclamenhold;
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    const auto [operations, found] = parse_operations(text);
+    if (!found.empty())
+    {
+        return 0;
+    }
+    const std::string written = to_json(operations);
+    const auto again = parse_operations(written);
+    if (!again.found.empty() || to_json(again.operations) != written)
+    {
+        std::abort();
+    }
+    configuration target;
+    const configuration before = target;
+    if (!apply_operations(target, operations).empty() && target != before)
+    {
+        std::abort();
+    }
+    return 0;
+}
--- a/src/core/events/event_json.cpp
+++ b/src/core/events/event_json.cpp
@@ -256,6 +256,10 @@
         return result;
     }
     event_page& page = result.page;
+    if (!object->contains("host"))
+    {
+        add_finding(result.found, "/host", "is missing");
+    }
     read_member(*object, "host", page.host, parse_host_id, "", result.found);
     if (const auto* const name = find_text(*object, "name"))
     {
--- a/tests/core/events_test.cpp
+++ b/tests/core/events_test.cpp
@@ -181,7 +181,7 @@
         for (const char* text :
              {"", "[]", "{}", R"({"events":[1]})",
               R"({"events":[{"hlc":"x","host":"y","kind":"z"}]})",
-              R"({"host":7,"events":[]})"})
+              R"({"host":7,"events":[]})", R"({"events":[]})"})
         {
             SCOPED_TRACE(text);
             EXPECT_FALSE(read_event_page(text).found.empty());
