--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-// Waiting requests for each request that may run.
-constexpr std::size_t queue_divisor = 2;
+// The queue holds this part of the limit: what waits here also holds slots of
+// the services above.
+constexpr std::size_t queue_divisor = 4;
 constexpr std::size_t min_queue_size = 8;
 constexpr std::size_t max_waiting_suspects = 64;
 
