Quarantine requests that crash upstreams, over all nodes

Cause: a request that crashes what runs it could take down one upstream after the other. Change: src/core/quarantine: digests in flight at a death become suspects, gates run suspects one at a time, an ended suspect is cleared on all nodes, the only suspect at a second death is quarantined for 300 s. Spread to 6 members a hop through message_kind::quarantine, wired into control.*. Conclusion: with two suspects at one death neither is quarantined; the next death, after one of them has run alone, decides.

--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -30,6 +30,9 @@
     chain_start(state.chain, settings.chain, now, random, actions);
     rates_start(state.rates, settings.rates, now, random, actions);
     claims_start(state.claims, settings.claims, now, random, actions);
+    quarantine_settings quarantine;
+    quarantine.self = settings.membership.self;
+    quarantine_start(state.quarantine, quarantine);
 }
 
 void control_tick(
@@ -41,6 +44,7 @@
     chain_tick(state.chain, state.membership, now, random, actions);
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
     claims_tick(state.claims, inputs_of_claims(state), now, random, actions);
+    quarantine_tick(state.quarantine, now);
 }
 
 void control_on_message(
@@ -66,6 +70,8 @@
             actions);
         return;
     case message_kind::quarantine:
+        quarantine_on_message(
+            state.quarantine, state.membership, message, now, random, actions);
         return;
     }
 }
@@ -96,7 +102,8 @@
 {
     return std::min(
         {membership_due(state.membership), chain_due(state.chain),
-         rates_due(state.rates), claims_due(state.claims)});
+         rates_due(state.rates), claims_due(state.claims),
+         quarantine_due(state.quarantine)});
 }
 
 void control_leave(
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -5,6 +5,7 @@
 #include "core/claims/claims.hpp"
 #include "core/configuration/chain.hpp"
 #include "core/membership/membership.hpp"
+#include "core/quarantine/quarantine.hpp"
 #include "core/rates/rates.hpp"
 
 #include <cstdint>
@@ -28,6 +29,7 @@
     chain_state chain;
     rates_state rates;
     claims_state claims;
+    quarantine_state quarantine;
     rate_limiter* limiter = nullptr;
     std::uint64_t wall_clock_ms = 0;
 };
--- /dev/null
+++ b/src/core/quarantine/quarantine.cpp
@@ -0,0 +1,287 @@
+#include "core/quarantine/quarantine.hpp"
+
+#include "core/quarantine/quarantine_messages.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+constexpr std::uint8_t max_hops = 8;
+// So many members get a report from each host that it is news to.
+constexpr std::size_t fan_out = 6;
+
+std::vector<host_id>
+choose_receivers(const membership_state& members, random_source& random)
+{
+    std::vector<host_id> alive;
+    for (const auto& [host, entry] : members.members)
+    {
+        if (entry.state == member_state::alive)
+        {
+            alive.push_back(host);
+        }
+    }
+    std::shuffle(alive.begin(), alive.end(), random);
+    alive.resize(std::min(alive.size(), fan_out));
+    return alive;
+}
+
+void spread(
+    const membership_state& members, const quarantine_message& message,
+    random_source& random, control_actions& actions)
+{
+    if (message.hops == 0)
+    {
+        return;
+    }
+    const auto payload = encode_quarantine(message);
+    for (const host_id host : choose_receivers(members, random))
+    {
+        actions.messages.push_back(
+            {host, message_kind::quarantine, transport::stream, payload});
+    }
+}
+
+// Makes room by forgetting what would be forgotten first anyway.
+void forget_oldest_suspect(quarantine_state& state)
+{
+    const auto oldest = std::ranges::min_element(
+        state.suspects, {},
+        [](const auto& entry)
+        {
+            return entry.second.forgotten_at;
+        });
+    state.suspects.erase(oldest);
+}
+
+void add_suspect(
+    quarantine_state& state, const upstream_life& death, std::uint64_t digest,
+    time_point now)
+{
+    if (state.quarantined.contains(digest))
+    {
+        return;
+    }
+    if (state.suspects.size() >= state.settings.max_suspects &&
+        !state.suspects.contains(digest))
+    {
+        forget_oldest_suspect(state);
+    }
+    state.suspects[digest] = {death, now + state.settings.suspicion_time};
+}
+
+void quarantine_digest(
+    quarantine_state& state, std::uint64_t digest, time_point now,
+    control_actions& actions)
+{
+    if (state.quarantined.size() >= state.settings.max_quarantined)
+    {
+        state.quarantined.erase(std::ranges::min_element(
+            state.quarantined, {},
+            [](const auto& entry)
+            {
+                return entry.second;
+            }));
+    }
+    state.suspects.erase(digest);
+    state.quarantined[digest] = now + state.settings.quarantine_time;
+    event quarantined;
+    quarantined.kind = event_kind::request_quarantined;
+    quarantined.detail = "digest " + std::to_string(digest);
+    actions.events.push_back(std::move(quarantined));
+}
+
+// Counts a death once. Returns false for one that is known.
+bool count_death(
+    quarantine_state& state, const upstream_life& death,
+    std::span<const std::uint64_t> digests, time_point now,
+    control_actions& actions)
+{
+    if (state.deaths.contains(death))
+    {
+        return false;
+    }
+    if (state.deaths.size() >= state.settings.max_suspects)
+    {
+        state.deaths.erase(state.deaths.begin());
+    }
+    state.deaths.emplace(death, now + state.settings.suspicion_time);
+    std::vector<std::uint64_t> again;
+    for (const std::uint64_t digest : digests)
+    {
+        if (state.suspects.contains(digest))
+        {
+            again.push_back(digest);
+        }
+    }
+    // A death beside several suspects does not tell which of them it was;
+    // they stay suspects, run one at a time, and the next death tells.
+    if (again.size() == 1)
+    {
+        quarantine_digest(state, again.front(), now, actions);
+    }
+    for (const std::uint64_t digest : digests)
+    {
+        add_suspect(state, death, digest, now);
+    }
+    ++state.version;
+    return true;
+}
+
+bool clear_suspects(
+    quarantine_state& state, std::span<const std::uint64_t> digests)
+{
+    std::size_t cleared = 0;
+    for (const std::uint64_t digest : digests)
+    {
+        cleared += state.suspects.erase(digest);
+    }
+    state.version += cleared > 0 ? 1 : 0;
+    return cleared > 0;
+}
+
+template <class Entries, class TimeOf>
+void erase_due(Entries& entries, time_point now, TimeOf time_of)
+{
+    std::erase_if(
+        entries,
+        [&](const auto& entry)
+        {
+            return time_of(entry.second) <= now;
+        });
+}
+
+} // namespace
+
+void quarantine_start(
+    quarantine_state& state, const quarantine_settings& settings)
+{
+    state.settings = settings;
+}
+
+void quarantine_on_death(
+    quarantine_state& state, const membership_state& members,
+    const upstream_life& death, std::span<const std::uint64_t> digests,
+    time_point now, random_source& random, control_actions& actions)
+{
+    const auto reported =
+        digests.first(std::min(digests.size(), max_reported_digests));
+    if (!count_death(state, death, reported, now, actions))
+    {
+        return;
+    }
+    quarantine_message message;
+    message.death = death;
+    message.digests.assign(reported.begin(), reported.end());
+    message.hops = max_hops;
+    spread(members, message, random, actions);
+}
+
+void quarantine_on_success(
+    quarantine_state& state, const membership_state& members,
+    std::uint64_t digest, time_point /*now*/, random_source& random,
+    control_actions& actions)
+{
+    if (!clear_suspects(state, std::span(&digest, 1)))
+    {
+        return;
+    }
+    quarantine_message message;
+    message.digests = {digest};
+    message.hops = max_hops;
+    spread(members, message, random, actions);
+}
+
+void quarantine_on_message(
+    quarantine_state& state, const membership_state& members,
+    const incoming_message& message, time_point now, random_source& random,
+    control_actions& actions)
+{
+    auto decoded = decode_quarantine(message.payload);
+    if (!decoded)
+    {
+        event bad;
+        bad.kind = event_kind::bad_input;
+        bad.peer = message.from;
+        bad.detail = "malformed quarantine message";
+        actions.events.push_back(std::move(bad));
+        return;
+    }
+    const bool is_news =
+        decoded->death
+            ? count_death(
+                  state, *decoded->death, decoded->digests, now, actions)
+            : clear_suspects(state, decoded->digests);
+    if (is_news)
+    {
+        decoded->hops = std::min(decoded->hops, max_hops);
+        decoded->hops -= decoded->hops > 0 ? 1 : 0;
+        spread(members, *decoded, random, actions);
+    }
+}
+
+void quarantine_tick(quarantine_state& state, time_point now)
+{
+    const auto before = state.suspects.size() + state.quarantined.size();
+    const auto itself = [](time_point at)
+    {
+        return at;
+    };
+    erase_due(state.deaths, now, itself);
+    erase_due(state.quarantined, now, itself);
+    erase_due(
+        state.suspects, now,
+        [](const suspect& entry)
+        {
+            return entry.forgotten_at;
+        });
+    const auto after = state.suspects.size() + state.quarantined.size();
+    state.version += after != before ? 1 : 0;
+}
+
+time_point quarantine_due(const quarantine_state& state)
+{
+    time_point due = time_point::max();
+    for (const auto& [life, at] : state.deaths)
+    {
+        due = std::min(due, at);
+    }
+    for (const auto& [digest, at] : state.quarantined)
+    {
+        due = std::min(due, at);
+    }
+    for (const auto& [digest, entry] : state.suspects)
+    {
+        due = std::min(due, entry.forgotten_at);
+    }
+    return due;
+}
+
+quarantine_view build_quarantine_view(const quarantine_state& state)
+{
+    quarantine_view view;
+    for (const auto& [digest, entry] : state.suspects)
+    {
+        view.suspects.push_back(digest);
+    }
+    for (const auto& [digest, until] : state.quarantined)
+    {
+        view.quarantined.push_back(digest);
+    }
+    return view;
+}
+
+bool is_suspect(const quarantine_view& view, std::uint64_t digest)
+{
+    return std::ranges::binary_search(view.suspects, digest);
+}
+
+bool is_quarantined(const quarantine_view& view, std::uint64_t digest)
+{
+    return std::ranges::binary_search(view.quarantined, digest);
+}
+
+} // namespace cyclamenhold
--- /dev/null
+++ b/src/core/quarantine/quarantine_messages.hpp
@@ -0,0 +1,31 @@
+// The quarantine messages between nodes and their encoding.
+#pragma once
+
+#include "core/quarantine/quarantine.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace cyclamenhold
+{
+
+constexpr std::size_t max_reported_digests = 1024;
+
+struct quarantine_message
+{
+    // Without it, the digests are cleared.
+    std::optional<upstream_life> death;
+    std::vector<std::uint64_t> digests;
+    std::uint8_t hops = 0;
+};
+
+[[nodiscard]] std::vector<std::uint8_t>
+encode_quarantine(const quarantine_message& message);
+
+// Nothing when the bytes are malformed.
+[[nodiscard]] std::optional<quarantine_message>
+decode_quarantine(std::span<const std::uint8_t> payload);
+
+} // namespace cyclamenhold
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -234,6 +234,10 @@
     call.route = route->settings.name;
     call.needs_claim =
         call.context.never_repeat && !request.idempotency_key.empty();
+    if (is_quarantined(*path.quarantine.read(), call.context.digest))
+    {
+        return refuse(refusal::quarantined, outcome::not_run);
+    }
     if (request.parent)
     {
         note_first_attempt(path.retries, workspace);
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -7,6 +7,7 @@
 #include "core/base/request_context.hpp"
 #include "core/base/snapshot_cell.hpp"
 #include "core/claims/claim.hpp"
+#include "core/quarantine/quarantine.hpp"
 #include "core/rates/rate_limiter.hpp"
 #include "core/request/call_record.hpp"
 #include "core/request/fair_slots.hpp"
@@ -35,6 +36,8 @@
     snapshot_cell<routing_view> routing;
     rate_limiter limiter;
     retry_budget retries;
+    // Published by the control thread with each version of its state.
+    snapshot_cell<quarantine_view> quarantine;
     fair_slots slots;
     route_levels levels;
     std::atomic<bool> draining{false};
--- /dev/null
+++ b/tests/core/quarantine_test.cpp
@@ -0,0 +1,195 @@
+#include "core/quarantine/quarantine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+const time_point start_time{1000s};
+
+host_id host_number(std::uint16_t number)
+{
+    return make_host_id(0x0a000001, number);
+}
+
+// Nodes that hand each other's messages on at once.
+struct quarantine_fleet
+{
+    std::vector<quarantine_state> states;
+    std::vector<membership_state> members;
+    random_source random{3};
+    std::deque<std::pair<host_id, outgoing_message>> messages;
+    std::size_t events = 0;
+};
+
+void make_fleet(quarantine_fleet& fleet, std::uint16_t size)
+{
+    fleet.states.resize(size);
+    fleet.members.resize(size);
+    for (std::uint16_t i = 0; i < size; ++i)
+    {
+        quarantine_settings settings;
+        settings.self = host_number(i + 1);
+        quarantine_start(fleet.states[i], settings);
+        for (std::uint16_t other = 0; other < size; ++other)
+        {
+            if (other != i)
+            {
+                member entry;
+                entry.host = host_number(other + 1);
+                fleet.members[i].members.emplace(entry.host, entry);
+            }
+        }
+    }
+}
+
+void deliver(quarantine_fleet& fleet, std::size_t from, control_actions actions)
+{
+    const auto collect = [&](std::size_t sender, control_actions& done)
+    {
+        fleet.events += done.events.size();
+        for (auto& message : done.messages)
+        {
+            fleet.messages.emplace_back(
+                fleet.states[sender].settings.self, std::move(message));
+        }
+    };
+    collect(from, actions);
+    while (!fleet.messages.empty())
+    {
+        const auto [sender, message] = std::move(fleet.messages.front());
+        fleet.messages.pop_front();
+        const auto to = static_cast<std::size_t>(
+            static_cast<std::uint64_t>(message.to) -
+            static_cast<std::uint64_t>(host_number(1)));
+        control_actions next;
+        quarantine_on_message(
+            fleet.states[to], fleet.members[to],
+            {sender, message.kind, message.payload}, start_time, fleet.random,
+            next);
+        collect(to, next);
+    }
+}
+
+void die(
+    quarantine_fleet& fleet, std::size_t node, std::uint64_t life,
+    const std::vector<std::uint64_t>& digests)
+{
+    control_actions actions;
+    quarantine_on_death(
+        fleet.states[node], fleet.members[node],
+        {fleet.states[node].settings.self, life}, digests, start_time,
+        fleet.random, actions);
+    deliver(fleet, node, std::move(actions));
+}
+
+void succeed(quarantine_fleet& fleet, std::size_t node, std::uint64_t digest)
+{
+    control_actions actions;
+    quarantine_on_success(
+        fleet.states[node], fleet.members[node], digest, start_time,
+        fleet.random, actions);
+    deliver(fleet, node, std::move(actions));
+}
+
+bool everywhere(const quarantine_fleet& fleet, std::uint64_t digest)
+{
+    return std::ranges::all_of(
+        fleet.states,
+        [digest](const quarantine_state& state)
+        {
+            return is_quarantined(build_quarantine_view(state), digest);
+        });
+}
+
+TEST(quarantine, second_death)
+{
+    quarantine_fleet fleet;
+    make_fleet(fleet, 16);
+    die(fleet, 0, 1, {7, 8, 9});
+    {
+        SCOPED_TRACE("one death makes suspects on all nodes, no more");
+        for (const auto& state : fleet.states)
+        {
+            EXPECT_TRUE(is_suspect(build_quarantine_view(state), 7));
+            EXPECT_TRUE(state.quarantined.empty());
+        }
+    }
+    {
+        SCOPED_TRACE("the same life dies only once");
+        die(fleet, 0, 1, {7});
+        EXPECT_FALSE(everywhere(fleet, 7));
+    }
+    {
+        SCOPED_TRACE("the one suspect at the next death is quarantined by all");
+        die(fleet, 5, 1, {7, 20, 21});
+        EXPECT_TRUE(everywhere(fleet, 7));
+        EXPECT_EQ(fleet.events, 16U);
+        EXPECT_EQ(fleet.states[3].quarantined.size(), 1U);
+    }
+    {
+        SCOPED_TRACE("for a bounded time");
+        quarantine_tick(fleet.states[0], start_time + 301s);
+        EXPECT_TRUE(fleet.states[0].quarantined.empty());
+        EXPECT_EQ(quarantine_due(fleet.states[0]), time_point::max());
+    }
+}
+
+TEST(quarantine, innocent_requests)
+{
+    quarantine_fleet fleet;
+    make_fleet(fleet, 4);
+    {
+        SCOPED_TRACE("a suspect that ends well is cleared on all nodes");
+        die(fleet, 0, 1, {7, 8});
+        succeed(fleet, 1, 8);
+        for (const auto& state : fleet.states)
+        {
+            EXPECT_FALSE(is_suspect(build_quarantine_view(state), 8));
+        }
+    }
+    {
+        SCOPED_TRACE("a death beside two suspects points at neither");
+        die(fleet, 2, 1, {30});
+        die(fleet, 3, 1, {7, 30});
+        EXPECT_FALSE(everywhere(fleet, 7));
+        EXPECT_FALSE(everywhere(fleet, 30));
+    }
+    {
+        SCOPED_TRACE("the next one does, once the innocent has run alone");
+        succeed(fleet, 0, 30);
+        die(fleet, 1, 1, {7, 40});
+        EXPECT_TRUE(everywhere(fleet, 7));
+        EXPECT_FALSE(everywhere(fleet, 30));
+        EXPECT_FALSE(everywhere(fleet, 40));
+    }
+}
+
+TEST(quarantine, bounded_and_checked)
+{
+    quarantine_fleet fleet;
+    make_fleet(fleet, 2);
+    fleet.states[0].settings.max_suspects = 10;
+    for (std::uint64_t life = 1; life < 50; ++life)
+    {
+        die(fleet, 0, life, {life * 2, life * 2 + 1});
+    }
+    EXPECT_LE(fleet.states[0].suspects.size(), 10U);
+    EXPECT_LE(fleet.states[0].deaths.size(), 10U);
+    const std::vector<std::uint8_t> garbage(40, 0x5a);
+    control_actions actions;
+    quarantine_on_message(
+        fleet.states[0], fleet.members[0],
+        {host_number(2), message_kind::quarantine, garbage}, start_time,
+        fleet.random, actions);
+    ASSERT_EQ(actions.events.size(), 1U);
+    EXPECT_EQ(actions.events[0].kind, event_kind::bad_input);
+}
+
+} // namespace
+} // namespace cyclamenhold
