Quarantine what kills upstreams, in the real node

Cause: the decisions were there, but nothing told them of deaths. Change: broken connections make the node probe its upstream; a refused probe is a death, with the digests of what broke; suspects run apart, the view is published. Conclusion: wired.

--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -48,6 +48,18 @@
         build_request_tables(*loop.published_configuration)));
 }
 
+void publish_quarantine(control_loop& loop)
+{
+    if (loop.state.quarantine.version == loop.published_quarantine)
+    {
+        return;
+    }
+    loop.published_quarantine = loop.state.quarantine.version;
+    loop.services.path.quarantine.publish(
+        std::make_unique<const quarantine_view>(
+            build_quarantine_view(loop.state.quarantine)));
+}
+
 void wake_waiting(control_loop& loop)
 {
     const auto results = settle_waiters(loop.services.path.limiter, now());
@@ -92,6 +104,7 @@
     carry_out(loop, std::move(actions));
     publish_members(loop);
     publish_configuration(loop);
+    publish_quarantine(loop);
     wake_waiting(loop);
     finish_commits(loop);
     loop.busy_us += thread_time_us() - before;
@@ -246,6 +259,8 @@
         seen.detail = why;
         loop.services.record(seen);
     };
+    // Lives of the upstream count on past those of an earlier node here.
+    loop.upstream.life = loop.services.self_incarnation;
     asio::co_spawn(loop.io, run_datagrams(*loop.datagrams), asio::detached);
     asio::post(
         loop.io,
@@ -359,6 +374,43 @@
         });
 }
 
+void post_upstream_death(
+    control_loop& loop, const std::vector<std::uint64_t>& digests)
+{
+    asio::post(
+        loop.io,
+        [&loop, digests]
+        {
+            const upstream_life life{loop.services.self, loop.upstream.life};
+            run_step(
+                loop,
+                [&](control_actions& actions)
+                {
+                    quarantine_on_death(
+                        loop.state.quarantine, loop.state.membership, life,
+                        digests, now(), loop.random, actions);
+                });
+            spread_upstream(loop, on_leave(loop.upstream));
+        });
+}
+
+void post_suspect_success(control_loop& loop, std::uint64_t digest)
+{
+    asio::post(
+        loop.io,
+        [&loop, digest]
+        {
+            run_step(
+                loop,
+                [&](control_actions& actions)
+                {
+                    quarantine_on_success(
+                        loop.state.quarantine, loop.state.membership, digest,
+                        now(), loop.random, actions);
+                });
+        });
+}
+
 void post_upstream_leave(control_loop& loop)
 {
     asio::post(
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -51,6 +51,7 @@
 
     // What was published last.
     std::uint64_t published_members = 0;
+    std::uint64_t published_quarantine = 0;
     std::shared_ptr<const configuration> published_configuration;
     commit_token next_commit = 1;
     std::unordered_map<commit_token, std::function<void(const commit_result&)>>
@@ -81,6 +82,11 @@
 void post_announcement(
     control_loop& loop, const upstream_announcement& announcement);
 void post_upstream_drain(control_loop& loop);
+// The local upstream died while requests with these digests were in flight.
+void post_upstream_death(
+    control_loop& loop, const std::vector<std::uint64_t>& digests);
+// A request under suspicion of killing upstreams ended well.
+void post_suspect_success(control_loop& loop, std::uint64_t digest);
 void post_upstream_leave(control_loop& loop);
 
 // Announces the planned stop to the fleet.
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -22,6 +22,32 @@
 
 void settle(local_gate& gate, const gate_verdicts& verdicts);
 
+bool is_suspect_here(local_gate& gate, std::uint64_t digest)
+{
+    const auto view = gate.services.path.quarantine.read();
+    return is_suspect(*view, digest);
+}
+
+// Looks for the upstream's death behind a failure, and clears a suspect that
+// ended well.
+void note_end(
+    local_gate& gate, const exchange& work,
+    const asio::ip::tcp::endpoint& endpoint,
+    const upstream_connection_ptr& connection, gate_result result, bool broke)
+{
+    const std::uint64_t digest = work.context.digest;
+    if (result == gate_result::failed)
+    {
+        note_broken_request(
+            gate.deaths, connection->stream.get_executor(), endpoint,
+            broke ? std::optional(digest) : std::nullopt, now(), gate.on_death);
+    }
+    else if (result == gate_result::replied && is_suspect_here(gate, digest))
+    {
+        gate.on_suspect_success(digest);
+    }
+}
+
 // Carries one started request to the upstream and settles it with the gate.
 asio::awaitable<void> run_started(
     local_gate* gate, exchange_ptr work, gate_ticket ticket,
@@ -47,7 +73,9 @@
     {
         return record->allowance.close();
     };
-    const auto [result, reusable] = co_await call_upstream(std::move(call));
+    const auto endpoint = call.endpoint;
+    const auto [result, broke, reusable] =
+        co_await call_upstream(std::move(call));
     end_running(gate->handles, request);
     if (reusable)
     {
@@ -59,6 +87,7 @@
         verdicts = gate_finish(gate->gate, ticket, result, now());
     }
     --gate->running;
+    note_end(*gate, *work, endpoint, connection, result, broke);
     settle(*gate, verdicts);
 }
 
@@ -123,11 +152,13 @@
 void offer(local_gate& gate, const exchange_ptr& work)
 {
     const gate_ticket ticket = gate.next_ticket++;
+    const bool suspect = is_suspect_here(gate, work->context.digest);
     gate_verdicts verdicts;
     {
         const std::scoped_lock lock(gate.mutex);
         gate.waiting.emplace(ticket, work);
-        verdicts = gate_offer(gate.gate, {ticket, work->context, now()}, now());
+        verdicts = gate_offer(
+            gate.gate, {ticket, work->context, now(), suspect}, now());
     }
     set_abort(
         *work,
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapters/call_handles.hpp"
+#include "adapters/death_watch.hpp"
 #include "adapters/exchange.hpp"
 #include "adapters/node_services.hpp"
 #include "adapters/upstream_pool.hpp"
@@ -35,6 +36,10 @@
     std::atomic<gate_ticket> next_ticket{1};
     // Requests that are running now.
     std::atomic<std::uint32_t> running{0};
+    death_watch deaths;
+    // Tells the control thread of a death, and of a suspect that ended well.
+    std::function<void(const std::vector<std::uint64_t>&)> on_death;
+    std::function<void(std::uint64_t)> on_suspect_success;
     // Asks the control thread whether a claim may still be used, and calls
     // back with the answer.
     std::function<void(const claim_grant&, std::function<void(bool)>)>
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -261,6 +261,14 @@
     {
         post_claim_check(node.control, grant, std::move(callback));
     };
+    node.gate.on_death = [&node](const std::vector<std::uint64_t>& digests)
+    {
+        post_upstream_death(node.control, digests);
+    };
+    node.gate.on_suspect_success = [&node](std::uint64_t digest)
+    {
+        post_suspect_success(node.control, digest);
+    };
     node.upstream_side.announce =
         [&node](const upstream_announcement& announcement)
     {
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -46,7 +46,9 @@
     const stream_failure& failure)
 {
     fail(*call.work, failure, call.report(), call.returned_allowance());
-    return {result_after(call, error), false};
+    const gate_result result = result_after(call, error);
+    const bool broke = result == gate_result::failed && !call.work->untouched;
+    return {result, broke, false};
 }
 
 template <class Message>
@@ -261,7 +263,7 @@
             asio::as_tuple(asio::use_awaitable));
         if (closed)
         {
-            co_return upstream_result{gate_result::cancelled, false};
+            co_return upstream_result{gate_result::cancelled, false, false};
         }
         if (last)
         {
@@ -271,7 +273,7 @@
     }
     const bool shed = status == 503 || status == 429;
     co_return upstream_result{
-        shed ? gate_result::shed : gate_result::replied,
+        shed ? gate_result::shed : gate_result::replied, false,
         parser->keep_alive() && !bodyless};
 }
 
--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -32,6 +32,8 @@
 struct upstream_result
 {
     gate_result result = gate_result::failed;
+    // The connection broke after the request had been sent.
+    bool broke = false;
     // The connection can carry another request.
     bool reusable = false;
 };
--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -35,6 +35,7 @@
     {
         monitor.record = announcement.record;
         monitor.endpoint = announcement.endpoint;
+        ++monitor.life;
         monitor.warm_until = now + announcement.warm_up;
         monitor.record.state = announcement.warm_up > duration::zero()
                                    ? upstream_state::warming
--- a/src/adapters/upstream_monitor.hpp
+++ b/src/adapters/upstream_monitor.hpp
@@ -17,6 +17,8 @@
 {
     upstream_record record;
     asio::ip::tcp::endpoint endpoint;
+    // Tells one upstream process from the next; grows with each.
+    std::uint64_t life = 0;
     time_point announced_at{};
     time_point warm_until{};
 };
--- a/tests/core/fleet_fuzz_test.cpp
+++ b/tests/core/fleet_fuzz_test.cpp
@@ -1,5 +1,5 @@
-#include "support/fleet_faults.hpp"
 #include "support/fleet_calls.hpp"
+#include "support/fleet_faults.hpp"
 
 #include <gtest/gtest.h>
 
