--- /dev/null
+++ b/tests/core/routing_test.cpp
@@ -0,0 +1,122 @@
+#include "core/routing/routing.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+const time_point start_time{1000s};
+const auto here = data_centre_id_of("here");
+const auto elsewhere = data_centre_id_of("elsewhere");
+
+upstream_location
+location(std::uint16_t number, data_centre_id where, std::uint32_t slots = 100)
+{
+    return {
+        make_host_id(0x0a000001, number),
+        1,
+        where,
+        {"lookup", upstream_state::serving, slots, 1000, 1}};
+}
+
+routing_view view_of(const std::vector<upstream_location>& locations)
+{
+    return build_routing_view(locations, here, routing_view{});
+}
+
+std::vector<routing_candidate>& candidates(routing_view& view)
+{
+    return view.services.begin()->second;
+}
+
+// How many of 1000 choices fall on each candidate.
+std::vector<int> spread(const routing_view& view, time_point now)
+{
+    request_context context;
+    context.service = service_id_of("lookup");
+    random_source random(5);
+    const auto& known = view.services.begin()->second;
+    std::vector<int> counts(known.size());
+    for (int i = 0; i < 1000; ++i)
+    {
+        const auto choice = choose_upstream(view, context, {}, now, random);
+        for (std::size_t c = 0; c < known.size(); ++c)
+        {
+            const bool chosen = choice.reason == refusal::none &&
+                                choice.candidate.stats == known[c].stats;
+            counts[c] += chosen ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
+TEST(routing, locality)
+{
+    auto view = view_of({location(1, here), location(2, elsewhere)});
+    EXPECT_EQ(spread(view, start_time), (std::vector<int>{1000, 0}));
+    {
+        SCOPED_TRACE("a full upstream here sends requests elsewhere");
+        candidates(view)[0].stats->outstanding = 150;
+        EXPECT_EQ(spread(view, start_time), (std::vector<int>{0, 1000}));
+    }
+    {
+        SCOPED_TRACE("unless it is no better there");
+        candidates(view)[1].stats->outstanding = 140;
+        EXPECT_EQ(spread(view, start_time), (std::vector<int>{1000, 0}));
+    }
+}
+
+TEST(routing, outliers)
+{
+    auto view =
+        view_of({location(1, here), location(2, here), location(3, here)});
+    const auto fail = [&](std::size_t index)
+    {
+        upstream_stats& stats = *candidates(view)[index].stats;
+        for (int i = 0; i < 5; ++i)
+        {
+            note_attempt_started(stats);
+            note_attempt_ended(stats, attempt_status::failed, 1ms, start_time);
+        }
+    };
+    fail(0);
+    EXPECT_EQ(spread(view, start_time)[0], 0);
+    {
+        SCOPED_TRACE("no more than half of a service is ejected");
+        fail(1);
+        fail(2);
+        const auto counts = spread(view, start_time);
+        EXPECT_EQ(std::ranges::count(counts, 0), 1);
+    }
+    {
+        SCOPED_TRACE("all of them come back");
+        EXPECT_EQ(std::ranges::count(spread(view, start_time + 8s), 0), 0);
+    }
+}
+
+TEST(routing, levels)
+{
+    auto view = view_of({location(1, here)});
+    load_report report;
+    report.limit = 100;
+    report.level = {priority_class::critical, 10};
+    note_load_report(*candidates(view)[0].stats, report, start_time);
+    EXPECT_LE(spread(view, start_time)[0], 50);
+    EXPECT_GE(spread(view, start_time)[0], 5);
+    EXPECT_EQ(spread(view, start_time + 3s)[0], 1000);
+}
+
+TEST(routing, drains)
+{
+    auto draining = location(1, here);
+    draining.record.state = upstream_state::draining;
+    const auto view = view_of({draining, location(2, elsewhere)});
+    EXPECT_EQ(spread(view, start_time), (std::vector<int>{0, 1000}));
+}
+
+} // namespace
+} // namespace cyclamenhold
