Judge each overload target by a test of its own, none loosened

Cause: one test held six targets, so that a listed shortfall hid the others, and it allowed 5% unforced failures where the target is none. Conclusion: stricter.

--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -84,7 +84,9 @@
     gate_verdicts verdicts;
     {
         const std::scoped_lock lock(gate->mutex);
-        verdicts = gate_finish(gate->gate, ticket, result, now());
+        verdicts = gate_finish(
+            gate->gate, ticket, result, now(),
+            request->record->below.total(now()));
     }
     --gate->running;
     note_end(*gate, *work, endpoint, connection, result, broke);
--- a/tests/core/overload_regression_test.cpp
+++ b/tests/core/overload_regression_test.cpp
@@ -17,8 +17,8 @@
 constexpr double least_critical_served = 0.999;
 constexpr double longest_recovery_seconds = 2.0;
 constexpr double least_workspace_share = 0.9;
-// Of all requests; what goodput may fall short of capacity.
-constexpr double most_unforced_failures = 0.05;
+// Of all requests; the target is none.
+constexpr double most_unforced_failures = 0.0;
 
 struct overload_case
 {
@@ -58,31 +58,49 @@
 {
 };
 
-TEST_P(overload_regression, targets)
+auto figures_of(const overload_case& value)
 {
-    const auto& [deployment, scenario] = GetParam();
-    const auto result =
-        run_scenario(deployment, scenario, overload_policy::adaptive);
-    const auto figures = measure(deployment, scenario, result);
-    {
-        SCOPED_TRACE("while the trigger lasts");
-        EXPECT_GE(figures.goodput, least_goodput);
-        EXPECT_GE(
-            figures.critical_served,
-            least_critical_served * figures.critical_possible);
-        EXPECT_GE(figures.worst_workspace, least_workspace_share);
-        EXPECT_LE(figures.unforced_failures, most_unforced_failures);
-    }
-    {
-        SCOPED_TRACE("after it has ended");
-        EXPECT_LE(figures.recovery_seconds, longest_recovery_seconds);
-    }
-    {
-        SCOPED_TRACE("all along");
-        // One attempt each, one in ten as a retry, and the callers' re-sends.
-        EXPECT_LE(
-            figures.attempts_at_deepest, 1.1 * (1 + scenario.caller_retries));
-    }
+    return measure(
+        value.deployment, value.scenario,
+        run_scenario(
+            value.deployment, value.scenario, overload_policy::adaptive));
+}
+
+TEST_P(overload_regression, goodput)
+{
+    EXPECT_GE(figures_of(GetParam()).goodput, least_goodput);
+}
+
+TEST_P(overload_regression, critical_served)
+{
+    const auto figures = figures_of(GetParam());
+    EXPECT_GE(
+        figures.critical_served,
+        least_critical_served * figures.critical_possible);
+}
+
+TEST_P(overload_regression, worst_workspace)
+{
+    EXPECT_GE(figures_of(GetParam()).worst_workspace, least_workspace_share);
+}
+
+TEST_P(overload_regression, no_unforced_failures)
+{
+    EXPECT_LE(figures_of(GetParam()).unforced_failures, most_unforced_failures);
+}
+
+TEST_P(overload_regression, recovery)
+{
+    EXPECT_LE(
+        figures_of(GetParam()).recovery_seconds, longest_recovery_seconds);
+}
+
+TEST_P(overload_regression, attempts_at_deepest)
+{
+    // One attempt each, one in ten as a retry, and the callers' re-sends.
+    EXPECT_LE(
+        figures_of(GetParam()).attempts_at_deepest,
+        1.1 * (1 + GetParam().scenario.caller_retries));
 }
 
 INSTANTIATE_TEST_SUITE_P(
