Test a rolling restart without the platform, and a host gone for good

Cause: the roster learned from peers and removals had no test of their own. Change: two stories in rates_test.

--- a/tests/core/rates_test.cpp
+++ b/tests/core/rates_test.cpp
@@ -126,5 +126,45 @@
     EXPECT_LE(oracle.highest_excess, 1e-6);
 }
 
+TEST(rates, rolling_restart_while_the_platform_is_away)
+{
+    fleet_options options;
+    const auto fleet = make_fleet(options, 120.0, 24.0);
+    fleet->start_all();
+    fleet->run_for(5s);
+    fleet->platform.faults.down = true;
+    for (const auto& [host, node] : fleet->nodes)
+    {
+        fleet->crash(*node);
+        fleet->start(*node);
+        fleet->run_for(12s);
+    }
+    SCOPED_TRACE("the roster was learned from peers, the rate is whole");
+    rate_oracle& oracle = fleet->oracles[school];
+    offer_load(
+        *fleet, 110.0, 10s,
+        [&fleet](std::uint64_t number) -> virtual_node&
+        {
+            return node_at(*fleet, number);
+        });
+    EXPECT_GT(served_part(oracle), 0.99);
+    EXPECT_LE(oracle.highest_excess, 1e-6);
+}
+
+TEST(rates, host_gone_for_good)
+{
+    fleet_options options;
+    options.rates.removal_time = 20s;
+    const auto fleet = make_fleet(options, 120.0, 24.0);
+    fleet->start_all();
+    fleet->run_for(30s);
+    fleet->crash(node_at(*fleet, 1));
+    fleet->run_for(60s);
+    SCOPED_TRACE("the others removed it and took up its weight");
+    const auto& hosts = node_at(*fleet, 0).control->rates.hosts;
+    EXPECT_EQ(hosts.known.members.size(), 3U);
+    EXPECT_EQ(weight_parts(hosts, fleet->local_now(node_at(*fleet, 0))), 3U);
+}
+
 } // namespace
 } // namespace cyclamenhold
