--- a/tests/core/configuration_test.cpp
+++ b/tests/core/configuration_test.cpp
@@ -1,6 +1,6 @@
 #include "core/configuration/chain.hpp"
 
-#include "core/configuration/chain_format.hpp"
+#include "core/configuration/chain_apply.hpp"
 #include "support/fake_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -183,6 +183,59 @@
     }
 }
 
+// Carries the commits' calls of one node to the store and back; all else is
+// held up, so that nothing but the commit itself can settle it.
+void carry_commit_calls(
+    chain_state& state, key_value_store& store, time_point now,
+    control_actions& actions)
+{
+    const membership_state members;
+    random_source random(1);
+    for (int round = 0; round < 10; ++round)
+    {
+        const auto calls = std::move(actions.platform_calls);
+        actions.platform_calls.clear();
+        for (const auto& call : calls)
+        {
+            if (call.client == platform_client::intent)
+            {
+                store_call(store, 1, call, now);
+            }
+        }
+        for (const auto& answer : store_poll(store, now))
+        {
+            chain_on_platform_reply(
+                state, members, answer.reply, now, random, actions);
+        }
+    }
+}
+
+TEST(configuration, a_commit_recognises_its_own_earlier_write)
+{
+    chain_state state;
+    key_value_store store;
+    control_actions actions;
+    random_source random(1);
+    const membership_state members;
+    time_point now{100s};
+    chain_start(state, {}, now, random, actions);
+    store.faults.lose_next_answers = 1;
+    chain_commit(state, 7, 0, "op-1", put_workspace("a"), now, random, actions);
+    carry_commit_calls(state, store, now, actions);
+    EXPECT_TRUE(state.results.empty());
+    EXPECT_TRUE(store.values.contains(change_key(1)));
+    for (int step = 0; step < 60 && state.results.empty(); ++step)
+    {
+        now += 100ms;
+        chain_tick(state, members, now, random, actions);
+        carry_commit_calls(state, store, now, actions);
+    }
+    ASSERT_EQ(state.results.size(), 1U);
+    EXPECT_EQ(state.results.front().token, 7U);
+    EXPECT_EQ(state.results.front().status, commit_status::committed);
+    EXPECT_EQ(state.current->revision, 1U);
+}
+
 TEST(configuration, it_outlives_a_platform_outage)
 {
     fake_fleet fleet(4);
@@ -253,8 +306,7 @@
         SCOPED_TRACE("and goes on with what it has where it cannot");
         for (std::size_t place = 2; place < 12; place += 3)
         {
-            fleet.nodes[place].cut_from_platform = true;
-            store_forget_caller(fleet.platform, place);
+            cut_from_platform(fleet, place);
         }
         commit_and_wait(fleet, 0, 1, "op-2", put_workspace("b"));
         run_for(fleet, 60s);
@@ -351,5 +403,67 @@
     EXPECT_LE(rejections, fleet.nodes.size());
 }
 
+TEST(configuration, a_fork_is_not_applied)
+{
+    chain_state state;
+    control_actions actions;
+    const chain_change first{1, "op-1", 0, put_workspace("a")};
+    ASSERT_EQ(
+        apply_change(state, first, time_point{1s}, actions),
+        apply_result::applied);
+    const chain_change fork{
+        2, "op-2", hash_after(first) + 1, put_workspace("b")};
+    EXPECT_EQ(
+        apply_change(state, fork, time_point{1s}, actions),
+        apply_result::rejected);
+    const chain_change next{2, "op-2", hash_after(first), put_workspace("b")};
+    const chain_change later{3, "op-3", hash_after(next), put_workspace("c")};
+    EXPECT_EQ(
+        apply_change(state, later, time_point{1s}, actions), apply_result::gap);
+    EXPECT_EQ(
+        apply_change(state, next, time_point{1s}, actions),
+        apply_result::applied);
+    EXPECT_EQ(
+        apply_change(state, first, time_point{1s}, actions),
+        apply_result::known);
+    EXPECT_EQ(state.current->revision, 2U);
+}
+
+TEST(configuration, bad_messages_are_reported_and_ignored)
+{
+    chain_state state;
+    const membership_state members;
+    control_actions actions;
+    random_source random(1);
+    chain_message message;
+    message.kind = wire::configuration::message_body::snapshot_part;
+    message.snapshot = {9, 9, 1};
+    message.part = 1;
+    for (const auto& bytes :
+         {std::vector<std::uint8_t>(64, 0xff), std::vector<std::uint8_t>{},
+          encode(message)})
+    {
+        actions = {};
+        chain_on_message(
+            state, members,
+            {make_host_id(2, 2), message_kind::configuration, bytes},
+            time_point{1s}, random, actions);
+        ASSERT_EQ(actions.events.size(), 1U);
+        EXPECT_EQ(actions.events.front().kind, event_kind::bad_input);
+    }
+    {
+        SCOPED_TRACE("so is a snapshot that nobody asked for");
+        message.part = 0;
+        message.bytes = "{}";
+        const auto bytes = encode(message);
+        chain_on_message(
+            state, members,
+            {make_host_id(2, 2), message_kind::configuration, bytes},
+            time_point{1s}, random, actions);
+        EXPECT_EQ(state.current->revision, 0U);
+        EXPECT_FALSE(state.peer_snapshot.has_value());
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
