Call a run that never served anything not recovered

Cause: the first trial through nodes, whose nodes crashed, served nothing and showed a recovery of 0 s: a share of nothing was reached at once. Change: without any goodput before the disturbance the recovery is 'never'; the test has that case. Conclusion: an all-failed run no longer looks recovered.

--- a/src/experiment/figures.cpp
+++ b/src/experiment/figures.cpp
@@ -111,6 +111,10 @@
     const double before = figures.offered_before == 0.0
                               ? 1.0
                               : figures.goodput_before / figures.offered_before;
+    if (before <= 0.0)
+    {
+        return -1.0;
+    }
     const double until_s = figures.disturbed.until_s;
     auto index = static_cast<std::size_t>(std::ceil(until_s / bin_s));
     for (; index + recovery_bins <= bins.size(); ++index)
--- a/tests/core/experiment_test.cpp
+++ b/tests/core/experiment_test.cpp
@@ -212,6 +212,11 @@
             record.whole = record.whole && record.at_s < 10.0;
         }
         EXPECT_LT(work_out_figures(plan, never, {}).recovery_s, 0.0);
+        for (sent_call& record : never)
+        {
+            record.whole = false;
+        }
+        EXPECT_LT(work_out_figures(plan, never, {}).recovery_s, 0.0);
     }
     {
         SCOPED_TRACE("reports hold the same figures");
