Test cyclamen-ctl and cyclamen-trace against a real node

Cause: both tools were tested against a fake of the operators' API only. Change: a test starts the stand-in platform and a node on free ports, and goes through a wrong credential, a change in force, two racing plans, a repeated confirmation, findings, the time line and a drain that cuts nothing. Conclusion: the contract of the API holds between the tools and the node.

--- /dev/null
+++ b/tests/adapters/ctl_node_test.cpp
@@ -0,0 +1,196 @@
+// The command line tools against a real node and the stand-in platform.
+#include "adapters/node_runtime.hpp"
+#include "ctl.hpp"
+#include "platform_server.hpp"
+#include "trace.hpp"
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include <boost/json.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+using testing::HasSubstr;
+
+constexpr const char* credential = "operators-only-123";
+constexpr auto patience = std::chrono::seconds(20);
+
+const ip_endpoint any_port = *parse_ip_endpoint("127.0.0.1:0");
+
+// A platform on a thread of its own.
+class running_platform
+{
+public:
+    running_platform() : server_(make_platform_server(context_.get_executor()))
+    {
+        const auto bound = start_platform_server(
+            server_, {boost::asio::ip::address_v4::loopback(), 0});
+        endpoint_ = {any_port.address, bound->port()};
+        thread_ = std::thread(
+            [this]
+            {
+                context_.run();
+            });
+    }
+    ~running_platform()
+    {
+        context_.stop();
+        thread_.join();
+    }
+    running_platform(const running_platform&) = delete;
+    running_platform& operator=(const running_platform&) = delete;
+
+    [[nodiscard]] ip_endpoint endpoint() const
+    {
+        return endpoint_;
+    }
+
+private:
+    boost::asio::io_context context_;
+    std::shared_ptr<platform_server> server_;
+    ip_endpoint endpoint_;
+    std::thread thread_;
+};
+
+node_settings settings_for(const ip_endpoint& platform)
+{
+    node_settings settings;
+    settings.name = "brno-1";
+    settings.data_centre = "brno";
+    settings.region = "moravia";
+    settings.listen = {any_port, any_port, any_port, any_port};
+    settings.platform = platform;
+    return settings;
+}
+
+struct tool_result
+{
+    exit_code code = exit_code::success;
+    std::string out;
+    std::string errors;
+};
+
+struct operator_console
+{
+    std::string node;
+    std::string credential_file;
+
+    [[nodiscard]] tool_result ctl(std::vector<std::string> words) const
+    {
+        words.insert(
+            words.end(),
+            {"--node", node, "--credential-file", credential_file});
+        std::ostringstream out;
+        std::ostringstream errors;
+        const exit_code code = run_ctl(words, out, errors);
+        return {code, out.str(), errors.str()};
+    }
+
+    // Repeats a command that waits for the node to reach the platform.
+    [[nodiscard]] tool_result
+    ctl_until_done(const std::vector<std::string>& words) const
+    {
+        const auto deadline = std::chrono::steady_clock::now() + patience;
+        tool_result result = ctl(words);
+        while (result.code != exit_code::success &&
+               std::chrono::steady_clock::now() < deadline)
+        {
+            result = ctl(words);
+        }
+        return result;
+    }
+};
+
+TEST(ctl_node, the_way_of_a_change)
+{
+    running_platform platform;
+    auto node = start_node(
+        settings_for(platform.endpoint()), {"0123456789abcdef", credential},
+        {});
+    ASSERT_TRUE(node.ok()) << node.status();
+    const std::string credential_file =
+        testing::TempDir() + "cyclamen_ctl_node_credential";
+    std::ofstream(credential_file) << credential << '\n';
+    const operator_console console{
+        to_string(ports_of(**node).operators), credential_file};
+    {
+        SCOPED_TRACE("a wrong credential is refused");
+        const std::string wrong_file =
+            testing::TempDir() + "cyclamen_ctl_node_wrong";
+        std::ofstream(wrong_file) << "not-the-credential";
+        const operator_console stranger{console.node, wrong_file};
+        EXPECT_EQ(stranger.ctl({"status"}).code, exit_code::refused);
+    }
+    {
+        SCOPED_TRACE("a workspace is put in force and shown");
+        const auto put = console.ctl_until_done(
+            {"workspace", "put", "school", "--rate", "20", "--burst", "40",
+             "--yes"});
+        EXPECT_EQ(put.code, exit_code::success) << put.errors;
+        EXPECT_THAT(put.out, HasSubstr("In force as revision 1."));
+        const auto shown = console.ctl({"show", "--json"});
+        EXPECT_THAT(shown.out, HasSubstr("\"school\"")) << shown.errors;
+    }
+    {
+        SCOPED_TRACE("of two plans on one revision the second conflicts");
+        const auto plan_of = [&console](const char* name)
+        {
+            const auto planned = console.ctl(
+                {"workspace", "put", name, "--rate", "1", "--burst", "1",
+                 "--json"});
+            EXPECT_EQ(planned.code, exit_code::success) << planned.errors;
+            const auto answer = boost::json::parse(planned.out);
+            return std::string(answer.at("plan").as_string().c_str());
+        };
+        const std::string first = plan_of("museum");
+        const std::string second = plan_of("museum");
+        const auto won = console.ctl({"confirm", first});
+        EXPECT_EQ(won.code, exit_code::success) << won.errors;
+        const auto lost = console.ctl({"confirm", second});
+        EXPECT_EQ(lost.code, exit_code::refused) << lost.out;
+        EXPECT_THAT(lost.errors, HasSubstr("museum"));
+        {
+            SCOPED_TRACE("while a repeat of the first is safe");
+            const auto again = console.ctl({"confirm", first});
+            EXPECT_EQ(again.code, exit_code::success) << again.errors;
+            EXPECT_EQ(again.out, won.out);
+        }
+    }
+    {
+        SCOPED_TRACE("findings of the node come with their places");
+        const auto refused = console.ctl(
+            {"workspace", "put", "bad", "--rate", "-1", "--burst", "1"});
+        EXPECT_EQ(refused.code, exit_code::refused);
+        EXPECT_THAT(refused.errors, HasSubstr("/operations/0/rate"));
+    }
+    {
+        SCOPED_TRACE("the time line has the node's events");
+        std::ostringstream out;
+        std::ostringstream errors;
+        EXPECT_EQ(
+            run_trace(
+                {"--node", console.node, "--credential-file", credential_file},
+                out, errors),
+            exit_code::success)
+            << errors.str();
+        EXPECT_THAT(out.str(), HasSubstr("configuration-applied"));
+    }
+    {
+        SCOPED_TRACE("drain asks for the planned stop, which cuts nothing");
+        EXPECT_EQ(console.ctl({"drain"}).code, exit_code::success);
+        EXPECT_TRUE(stop_requested(**node));
+        const std::atomic<bool> hurry{false};
+        EXPECT_EQ(stop_node(**node, hurry).cut, 0U);
+    }
+}
+
+} // namespace
+} // namespace cyclamenhold
