--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -203,22 +203,31 @@
         });
 }
 
-void on_timer(control_loop& loop)
+void tick(control_loop& loop)
 {
-    if (!loop.leaving)
-    {
-        spread_upstream(loop, check_upstream(loop.upstream, now()));
-    }
     run_step(
         loop,
         [&](control_actions& actions)
         {
-            if (control_due(loop.state) <= now())
-            {
-                control_tick(
-                    loop.state, wall_clock_ms(), now(), loop.random, actions);
-            }
+            control_tick(
+                loop.state, wall_clock_ms(), now(), loop.random, actions);
         });
+}
+
+void on_timer(control_loop& loop)
+{
+    if (!loop.leaving)
+    {
+        spread_upstream(loop, check_upstream(loop.upstream, now()));
+    }
+    if (control_due(loop.state) <= now())
+    {
+        tick(loop);
+    }
+    else
+    {
+        run_step(loop, [](control_actions&) {});
+    }
     close_idle(loop.links);
     arm_timer(loop);
 }
@@ -259,6 +268,20 @@
         seen.detail = why;
         loop.services.record(seen);
     };
+    loop.services.path.limiter.on_waiting = [&loop]
+    {
+        // One prompt at a time is enough for any number of waiting requests.
+        if (!loop.prompted.exchange(true))
+        {
+            asio::post(
+                loop.io,
+                [&loop]
+                {
+                    loop.prompted = false;
+                    tick(loop);
+                });
+        }
+    };
     // Lives of the upstream count on past those of an earlier node here.
     loop.upstream.life = loop.services.self_incarnation;
     asio::co_spawn(loop.io, run_datagrams(*loop.datagrams), asio::detached);
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -58,6 +58,8 @@
         commits;
     bool platform_reachable = true;
     bool leaving = false;
+    // A tick has been asked for because requests wait for tokens.
+    std::atomic<bool> prompted{false};
     // Processor time spent here, for the budget of the control side.
     std::atomic<std::uint64_t> busy_us{0};
 };
--- a/tests/support/call_fleet.hpp
+++ b/tests/support/call_fleet.hpp
@@ -167,6 +167,7 @@
         bucket.rate = 1e9;
         bucket.capacity = 1e9;
         bucket.refilled_at = fleet.clock.now;
+        bucket.valid_until = time_point::max();
     }
 }
 
