--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -421,6 +421,47 @@
     }
 }
 
+void close_acceptors(node_runtime& node)
+{
+    boost::system::error_code ignored;
+    for (auto* acceptor :
+         {&node.callers_acceptor, &node.upstream_acceptor, &node.peers_acceptor,
+          &node.operators_acceptor})
+    {
+        (*acceptor)->close(ignored);
+    }
+}
+
+// Ends all connections and lets their coroutines run to their ends, while the
+// contexts that they belong to still exist. The threads have stopped.
+void release_connections(node_runtime& node)
+{
+    close_acceptors(node);
+    close_all(node.control.links);
+    for (const auto& thread : node.threads)
+    {
+        close_all(thread->links);
+        for (const auto& caller : thread->idle)
+        {
+            caller->stream.close();
+        }
+    }
+    constexpr int rounds = 10;
+    for (int round = 0; round < rounds; ++round)
+    {
+        for (const auto& thread : node.threads)
+        {
+            thread->io.restart();
+            thread->io.poll();
+        }
+        node.control.io.restart();
+        node.control.io.poll();
+    }
+    node.gate.pool.idle.clear();
+    node.gate.waiting.clear();
+    node.wakeups.waiting.clear();
+}
+
 void stop_threads(node_runtime& node)
 {
     for (const auto& thread : node.threads)
@@ -433,6 +474,7 @@
         thread.join();
     }
     node.running.clear();
+    release_connections(node);
 }
 
 } // namespace
