--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -12,10 +12,10 @@
 
 // The function that gives `settings.path`, for the table below.
 #define CYCLAMEN_MEMBER(path)                                                  \
-    +[](node_settings& settings) -> decltype((settings.path))                  \
-    {                                                                          \
-        return settings.path;                                                  \
-    }
+    (+[](node_settings& settings) -> decltype((settings.path))                 \
+     {                                                                         \
+         return settings.path;                                                 \
+     })
 
 using enum setting_presence;
 
--- /dev/null
+++ b/tests/process/fleet_processes.hpp
@@ -0,0 +1,288 @@
+// Starts the programs of a small fleet as processes and talks to them. Only
+// processes started here are signalled, by their ids.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace cyclamenhold::process_tests
+{
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr auto patience = std::chrono::seconds(30);
+constexpr const char* fleet_secret = "fleet-secret-of-tests";
+constexpr const char* operator_credential = "operators-of-tests";
+
+// Polls until the condition holds; false when patience is over.
+inline bool wait_until(
+    const std::function<bool()>& condition,
+    std::chrono::steady_clock::duration limit = patience)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (!condition())
+    {
+        if (std::chrono::steady_clock::now() > deadline)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+// A program of the build folder; ended with its owner.
+class process
+{
+public:
+    explicit process(std::vector<std::string> words)
+    {
+        int ends[2] = {-1, -1};
+        if (::pipe(ends) != 0)
+        {
+            std::abort();
+        }
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+        posix_spawn_file_actions_addclose(&actions, ends[0]);
+        words[0] = std::string(CYCLAMEN_BIN_DIR "/") + words[0];
+        std::vector<char*> arguments;
+        for (auto& word : words)
+        {
+            arguments.push_back(word.data());
+        }
+        arguments.push_back(nullptr);
+        ::posix_spawn(
+            &id_, arguments[0], &actions, nullptr, arguments.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        ::close(ends[1]);
+        FILE* const output = ::fdopen(ends[0], "r");
+        char line[1024] = "{}";
+        if (std::fgets(line, sizeof line, output) == nullptr)
+        {
+            std::snprintf(line, sizeof line, "{}");
+        }
+        first_line = json::parse(line).as_object();
+        std::fclose(output);
+    }
+    ~process()
+    {
+        if (id_ > 0)
+        {
+            ::kill(id_, SIGKILL);
+            ::waitpid(id_, nullptr, 0);
+        }
+    }
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+
+    void signal(int number) const
+    {
+        ::kill(id_, number);
+    }
+
+    // Waits for the end; the exit code, or minus the signal's number.
+    int wait()
+    {
+        int status = 0;
+        ::waitpid(id_, &status, 0);
+        id_ = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
+
+    [[nodiscard]] std::string port(const std::string& name) const
+    {
+        return std::string(first_line.at(name).as_string());
+    }
+
+    json::object first_line;
+
+private:
+    pid_t id_ = 0;
+};
+
+struct http_answer
+{
+    // 0 when the connection ended without a reply.
+    unsigned status = 0;
+    std::string outcome;
+    std::string body;
+};
+
+struct http_call
+{
+    http::verb method = http::verb::get;
+    std::string target;
+    std::string bearer = {};
+    std::string body = {};
+    std::string idempotency_key = {};
+};
+
+// A keep-alive connection.
+class client
+{
+public:
+    explicit client(const std::string& endpoint)
+    {
+        const auto colon = endpoint.find(':');
+        boost::system::error_code failed;
+        stream_.connect(
+            {boost::asio::ip::make_address(endpoint.substr(0, colon)),
+             static_cast<std::uint16_t>(std::stoi(endpoint.substr(colon + 1)))},
+            failed);
+    }
+
+    http_answer send(const http_call& call)
+    {
+        http::request<http::string_body> request{call.method, call.target, 11};
+        request.set(http::field::host, "test");
+        if (!call.bearer.empty())
+        {
+            request.set(http::field::authorization, "Bearer " + call.bearer);
+        }
+        if (!call.idempotency_key.empty())
+        {
+            request.set("Idempotency-Key", call.idempotency_key);
+        }
+        request.body() = call.body;
+        request.prepare_payload();
+        boost::system::error_code error;
+        http::write(stream_, request, error);
+        http::response_parser<http::string_body> reply;
+        reply.body_limit(boost::none);
+        if (!error)
+        {
+            http::read(stream_, buffer_, reply, error);
+        }
+        if (error)
+        {
+            return {};
+        }
+        return {
+            reply.get().result_int(),
+            std::string(reply.get()["Cyclamen-Outcome"]), reply.get().body()};
+    }
+
+private:
+    boost::asio::io_context io_;
+    boost::beast::tcp_stream stream_{io_};
+    boost::beast::flat_buffer buffer_;
+};
+
+inline http_answer send_once(const std::string& endpoint, const http_call& call)
+{
+    return client(endpoint).send(call);
+}
+
+// A platform and nodes in one data centre, each with an upstream.
+class fleet
+{
+public:
+    fleet() : platform({"cyclamen-standin-platform"}) {}
+
+    void add_node()
+    {
+        const std::string path = testing::TempDir() + "cyclamen_node_" +
+                                 std::to_string(::getpid()) + "_" +
+                                 std::to_string(nodes.size()) + ".json";
+        json::object listen;
+        for (const char* name : {"callers", "upstream", "peers", "operators"})
+        {
+            listen[name] = "127.0.0.1:0";
+        }
+        std::ofstream(path) << json::serialize(json::object{
+            {"name", "node-" + std::to_string(nodes.size())},
+            {"data_centre", "brno"},
+            {"region", "moravia"},
+            {"listen", listen},
+            {"fleet_secret", fleet_secret},
+            {"operator_credential", operator_credential},
+            {"platform", platform.port("listening")},
+            {"log", json::object{{"level", "error"}}}});
+        nodes.push_back(std::make_unique<process>(
+            std::vector<std::string>{"cyclamen-node", "--settings", path}));
+    }
+
+    void add_upstream(
+        std::size_t node, const std::string& service,
+        const std::vector<std::string>& more = {})
+    {
+        std::vector<std::string> words{
+            "cyclamen-standin-upstream",
+            "--service",
+            service,
+            "--node",
+            nodes[node]->port("upstream"),
+            "--service-time-ms",
+            "2",
+            "--distribution",
+            "fixed"};
+        words.insert(words.end(), more.begin(), more.end());
+        upstreams.push_back(std::make_unique<process>(words));
+    }
+
+    // Plans and confirms; the operations are JSON.
+    void configure(const json::array& operations)
+    {
+        const std::string body =
+            json::serialize(json::object{{"operations", operations}});
+        const auto planned = send_once(
+            nodes[0]->port("operators"),
+            {http::verb::post, "/v1/intents", operator_credential, body, {}});
+        ASSERT_EQ(planned.status, 200U) << planned.body;
+        json::object confirm{
+            {"plan", json::parse(planned.body).at("plan").as_string()}};
+        ASSERT_TRUE(wait_until(
+            [&]
+            {
+                return send_once(
+                           nodes[0]->port("operators"),
+                           {http::verb::post,
+                            "/v1/plans/confirm",
+                            operator_credential,
+                            json::serialize(confirm),
+                            {}})
+                           .status == 200;
+            }));
+    }
+
+    // Waits until a node serves the target.
+    [[nodiscard]] bool
+    served(std::size_t node, const std::string& target, const std::string& key)
+    {
+        return wait_until(
+            [&]
+            {
+                return send_once(
+                           nodes[node]->port("callers"),
+                           {http::verb::get, target, key, {}, {}})
+                           .status == 200;
+            });
+    }
+
+    process platform;
+    std::vector<std::unique_ptr<process>> nodes;
+    std::vector<std::unique_ptr<process>> upstreams;
+};
+
+} // namespace cyclamenhold::process_tests
