--- a/src/apps/cyclamen-load/caller.cpp
+++ b/src/apps/cyclamen-load/caller.cpp
@@ -25,7 +25,7 @@
 namespace
 {
 
-constexpr std::string_view checksum_header = "Cyclamen-Checksum";
+constexpr std::string_view checksum_header = "X-Body-Checksum";
 
 // One thread's part of the load.
 struct caller
--- a/tests/adapters/standin_upstream_test.cpp
+++ b/tests/adapters/standin_upstream_test.cpp
@@ -141,10 +141,10 @@
         EXPECT_EQ(result.status, http_call_status::answered);
         EXPECT_EQ(result.body_bytes, size);
         EXPECT_EQ(
-            header_value(result.headers, "Cyclamen-Checksum"),
+            header_value(result.headers, "X-Body-Checksum"),
             checksum_text(result.body_hash));
         EXPECT_EQ(
-            header_value(result.headers, "Cyclamen-Request-Checksum"),
+            header_value(result.headers, "X-Request-Checksum"),
             checksum_text(XXH3_64bits(body.data(), body.size())));
     }
     {
--- a/tests/process/fleet_processes.hpp
+++ b/tests/process/fleet_processes.hpp
@@ -67,6 +67,7 @@
         posix_spawn_file_actions_addclose(&actions, ends[0]);
         words[0] = std::string(CYCLAMEN_BIN_DIR "/") + words[0];
         std::vector<char*> arguments;
+        arguments.reserve(words.size() + 1);
         for (auto& word : words)
         {
             arguments.push_back(word.data());
--- a/tools/cyclamen-standin-upstream/upstream_server.cpp
+++ b/tools/cyclamen-standin-upstream/upstream_server.cpp
@@ -184,7 +184,7 @@
     http::response<http::string_body> response;
     set_head(response, plan, keep_alive);
     response.set(
-        "Cyclamen-Checksum",
+        "X-Body-Checksum",
         checksum_text(XXH3_64bits(plan.body.data(), plan.body.size())));
     response.body() = plan.body;
     response.prepare_payload();
@@ -199,7 +199,7 @@
     http::response<http::empty_body> response;
     set_head(response, plan, keep_alive);
     std::uint64_t left = *plan.pattern_bytes;
-    response.set("Cyclamen-Checksum", checksum_text(pattern_hash(left)));
+    response.set("X-Body-Checksum", checksum_text(pattern_hash(left)));
     response.content_length(left);
     http::response_serializer<http::empty_body> head(response);
     const auto [head_error, head_size] =
--- a/tools/cyclamen-standin-upstream/work.cpp
+++ b/tools/cyclamen-standin-upstream/work.cpp
@@ -148,7 +148,7 @@
 {
     reply_plan plan;
     plan.headers.push_back(
-        {"Cyclamen-Request-Checksum", checksum_text(request.body_hash)});
+        {"X-Request-Checksum", checksum_text(request.body_hash)});
     plan.headers.push_back(
         {"Cyclamen-Request-Bytes", std::to_string(request.body_bytes)});
     const auto wanted = parse_size(query_value(request.query, "reply_bytes"));
--- a/tools/python/processes.py
+++ b/tools/python/processes.py
@@ -2,9 +2,11 @@
 import json
 import os
 import re
+import secrets
 import signal
 import subprocess
 import time
+import uuid
 
 START_TIMEOUT_S = 10
 STOP_TIMEOUT_S = 40
@@ -22,6 +24,13 @@
         return json.loads(strip_comments(file.read()))
 
 
+def new_uuid7():
+    """An idempotency key that carries the time it was made (RFC 9562)."""
+    value = (int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62)
+    value |= (secrets.randbits(12) << 64) | secrets.randbits(62)
+    return str(uuid.UUID(int=value))
+
+
 class Processes:
     """The processes of one run; upstreams are stopped before their nodes."""
 
