--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -207,7 +207,7 @@
                 {
                     const std::string path =
                         "/service-" + std::to_string(index % routes) + "/x";
-                    found += find_route(tables, "GET", path) != nullptr;
+                    found += find_route(tables, {}, "GET", path) != nullptr;
                     found += authenticate(tables, fleet_secret, "cyk_k1_x") !=
                              workspace_id::none;
                 }
--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -21,6 +21,8 @@
     running_request_ptr parent;
     call_state state;
     request_head head;
+    // The caller's own id of the request.
+    std::string request_id;
     // More of the body than the prefix has gone to an upstream.
     bool body_spent = false;
     exchange_ptr work;
@@ -33,6 +35,7 @@
     event seen;
     seen.kind = kind;
     seen.trace = run.state.context.trace;
+    seen.request_id = run.request_id;
     seen.workspace = run.state.context.workspace;
     seen.peer = peer;
     seen.detail = std::move(detail);
@@ -113,6 +116,29 @@
     watch_for_hang_up(caller);
 }
 
+// The caller's fields that go on, and those that the entry node adds.
+void fill_forwarded_fields(call_run& run, const call_request& request)
+{
+    const node_services& services = run.caller->thread.services;
+    const header_names& names = services.dialect.headers;
+    auto& fields = run.head.headers;
+    fields = forwarded_fields(
+        run.caller->parser->get().base(), names,
+        request.key.value_or(std::string()));
+    if (names.forwards_host)
+    {
+        fields.push_back({"Host", request.host});
+    }
+    if (!names.workspace.empty() && !run.state.workspace.empty())
+    {
+        fields.push_back({names.workspace, run.state.workspace});
+    }
+    if (!names.caller_service.empty())
+    {
+        fields.push_back({names.caller_service, services.local_service});
+    }
+}
+
 void dispatch(call_run& run, const call_step& step)
 {
     request_thread& thread = run.caller->thread;
@@ -216,6 +242,17 @@
                 asio::detached);
         }
     }
+    if (!closed && run.first.head && !run.first.failure)
+    {
+        const bool whole = co_await gather_small(work, run.first);
+        if (!whole && !*timed_out && !run.caller->gone)
+        {
+            run.first.head.reset();
+            run.first.failure =
+                stream_failure{refusal::upstream_failed, outcome::unknown};
+        }
+        closed = !whole && (*timed_out || run.caller->gone);
+    }
     const auto result = result_of(run, closed, *timed_out);
     record(
         run, event_kind::attempt_ended, step.target.location.host,
@@ -347,14 +384,14 @@
     run.state.id = thread.services.next_call++;
     run.head.method = request.method;
     run.head.target = request.target;
-    run.head.headers = forwarded_fields(
-        caller->parser->get().base(), request.key.value_or(std::string()));
     run.head.body_size = request.body_size;
+    run.request_id = request.request_id;
     if (caller->body_complete)
     {
         watch_for_hang_up(caller);
     }
     call_step step = begin_call(path, run.state, request, now(), thread.random);
+    fill_forwarded_fields(run, request);
     record(
         run, event_kind::request_received, host_id::none,
         request.method + ' ' + request.target);
--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -137,11 +137,10 @@
     co_return true;
 }
 
-std::optional<std::chrono::milliseconds>
-timeout_of(const http::fields& fields, bool& malformed)
+std::optional<std::chrono::milliseconds> timeout_of(
+    const http::fields& fields, const header_names& names, bool& malformed)
 {
-    const auto text =
-        view_of(fields[{timeout_field.data(), timeout_field.size()}]);
+    const auto text = field_value(fields, names.timeout);
     if (text.empty())
     {
         return std::nullopt;
@@ -166,7 +165,10 @@
     {
         request.key = std::string(key);
     }
-    request.timeout = timeout_of(message, malformed);
+    const header_names& names = caller.thread.services.dialect.headers;
+    request.host = view_of(message[http::field::host]);
+    request.timeout = timeout_of(message, names, malformed);
+    request.request_id = field_value(message, names.request_id);
     request.idempotency_key =
         view_of(message[{idempotency_field.data(), idempotency_field.size()}]);
     if (const auto length = caller.parser->content_length())
@@ -216,14 +218,22 @@
 // The parent of a child call, from the handle that the upstream was given.
 running_request_ptr parent_of(const caller_connection& caller)
 {
-    const auto handle =
-        view_of(caller.parser->get()[{call_field.data(), call_field.size()}]);
-    return find_running(caller.thread.gate.handles, handle);
+    const header_names& names = caller.thread.services.dialect.headers;
+    return find_running(
+        caller.thread.gate.handles,
+        field_value(caller.parser->get(), names.call_handle));
 }
 
 asio::awaitable<void>
 serve_request(caller_ptr caller, session_settings settings)
 {
+    const node_dialect& dialect = caller->thread.services.dialect;
+    if (settings.side == session_side::upstream &&
+        dialect.read_notice != nullptr)
+    {
+        co_await serve_notice(caller, settings.upstream);
+        co_return;
+    }
     const std::string target(view_of(caller->parser->get().target()));
     if (settings.side == session_side::upstream && is_upstream_request(target))
     {
--- a/src/adapters/caller_session.hpp
+++ b/src/adapters/caller_session.hpp
@@ -17,20 +17,12 @@
     upstream
 };
 
-// What the local upstream says of itself.
-struct upstream_announcement
-{
-    upstream_record record;
-    asio::ip::tcp::endpoint endpoint;
-    std::chrono::milliseconds warm_up{};
-};
-
 // What sessions on the upstream's port ask of the node.
 struct upstream_port
 {
     std::function<void(const upstream_announcement&)> announce;
-    std::function<void()> drain;
-    std::function<void()> leave;
+    std::function<void(const upstream_departure&)> drain;
+    std::function<void(const upstream_departure&)> leave;
 };
 
 struct session_settings
--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -48,6 +48,32 @@
         build_request_tables(*loop.published_configuration)));
 }
 
+// Says until when keys may be trusted without a newer proof.
+void publish_key_trust(control_loop& loop)
+{
+    if (loop.key_trust == duration::zero())
+    {
+        return;
+    }
+    const time_point confirmed =
+        configuration_confirmed_at(loop.state.chain, loop.state.membership);
+    const time_point until = confirmed + loop.key_trust;
+    loop.services.path.keys_valid_until.store(
+        until.time_since_epoch().count(), std::memory_order_relaxed);
+    const bool trusted = now() < until;
+    if (trusted != loop.are_keys_trusted)
+    {
+        loop.are_keys_trusted = trusted;
+        event seen;
+        seen.kind = trusted ? event_kind::platform_available
+                            : event_kind::platform_unavailable;
+        seen.detail = trusted ? "keys are trusted again"
+                              : "keys are refused: the configuration was not "
+                                "confirmed in time";
+        loop.services.record(seen);
+    }
+}
+
 void publish_quarantine(control_loop& loop)
 {
     if (loop.state.quarantine.version == loop.published_quarantine)
@@ -104,6 +130,7 @@
     carry_out(loop, std::move(actions));
     publish_members(loop);
     publish_configuration(loop);
+    publish_key_trust(loop);
     publish_quarantine(loop);
     wake_waiting(loop);
     finish_commits(loop);
@@ -185,7 +212,9 @@
     {
         return;
     }
-    set_upstream(loop.gate, *record, loop.upstream.endpoint);
+    set_upstream(
+        loop.gate, *record,
+        {loop.upstream.endpoint, loop.upstream.id, loop.upstream.life});
     event seen;
     seen.kind = record->state == upstream_state::draining
                     ? event_kind::upstream_draining
@@ -203,6 +232,26 @@
         });
 }
 
+// An announcement without a connection cap gets that of the configuration.
+upstream_announcement with_connection_cap(
+    const control_loop& loop, upstream_announcement announcement)
+{
+    auto& record = announcement.record;
+    if (record.connections != 0)
+    {
+        return announcement;
+    }
+    record.connections = record.slots;
+    for (const auto& service : loop.state.chain.current->services)
+    {
+        if (service.name == record.service && service.connections != 0)
+        {
+            record.connections = service.connections;
+        }
+    }
+    return announcement;
+}
+
 void tick(control_loop& loop)
 {
     run_step(
@@ -382,7 +431,9 @@
             if (!loop.leaving)
             {
                 spread_upstream(
-                    loop, on_announcement(loop.upstream, announcement, now()));
+                    loop, on_announcement(
+                              loop.upstream,
+                              with_connection_cap(loop, announcement), now()));
             }
         });
 }
@@ -413,7 +464,7 @@
                         loop.state.quarantine, loop.state.membership, life,
                         digests, now(), loop.random, actions);
                 });
-            spread_upstream(loop, on_leave(loop.upstream));
+            spread_upstream(loop, on_leave(loop.upstream, {}));
         });
 }
 
@@ -434,13 +485,14 @@
         });
 }
 
-void post_upstream_leave(control_loop& loop)
+void post_upstream_leave(
+    control_loop& loop, const upstream_departure& departure)
 {
     asio::post(
         loop.io,
-        [&loop]
+        [&loop, departure]
         {
-            spread_upstream(loop, on_leave(loop.upstream));
+            spread_upstream(loop, on_leave(loop.upstream, departure));
         });
 }
 
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -56,6 +56,10 @@
     commit_token next_commit = 1;
     std::unordered_map<commit_token, std::function<void(const commit_result&)>>
         commits;
+    // Keys are trusted for so long after the configuration was last known to
+    // be the newest; zero for ever.
+    duration key_trust{};
+    bool are_keys_trusted = true;
     bool platform_reachable = true;
     bool leaving = false;
     // A tick has been asked for because requests wait for tokens.
@@ -84,12 +88,13 @@
 void post_announcement(
     control_loop& loop, const upstream_announcement& announcement);
 void post_upstream_drain(control_loop& loop);
+void post_upstream_leave(
+    control_loop& loop, const upstream_departure& departure);
 // The local upstream died while requests with these digests were in flight.
 void post_upstream_death(
     control_loop& loop, const std::vector<std::uint64_t>& digests);
 // A request under suspicion of killing upstreams ended well.
 void post_suspect_success(control_loop& loop, std::uint64_t digest);
-void post_upstream_leave(control_loop& loop);
 
 // Announces the planned stop to the fleet.
 void post_leave(control_loop& loop);
--- a/src/adapters/http_fields.cpp
+++ b/src/adapters/http_fields.cpp
@@ -59,6 +59,20 @@
                {own_prefix.data(), own_prefix.size()});
 }
 
+// What the caller says in such a field is replaced or dropped.
+bool is_set_by_node(const header_names& names, std::string_view name)
+{
+    const std::array<std::string_view, 6> set_here{
+        names.timeout,   names.remaining,      names.call_handle,
+        names.workspace, names.caller_service, names.upstream_id};
+    return std::ranges::any_of(
+        set_here,
+        [name](std::string_view own)
+        {
+            return !own.empty() && beast::iequals(own, name);
+        });
+}
+
 template <class Drop>
 header_fields filter(const http::fields& fields, const Drop& drop)
 {
@@ -79,14 +93,41 @@
 
 } // namespace
 
-header_fields forwarded_fields(const http::fields& fields, std::string_view key)
+header_fields forwarded_fields(
+    const http::fields& fields, const header_names& names, std::string_view key)
 {
-    return filter(
+    auto kept = filter(
         fields,
         [key](std::string_view value)
         {
             return !key.empty() && value.find(key) != std::string_view::npos;
         });
+    std::erase_if(
+        kept,
+        [&names](const header_field& field)
+        {
+            return is_set_by_node(names, field.name);
+        });
+    return kept;
+}
+
+std::string_view
+field_value(const http::fields& fields, const std::string& name)
+{
+    return name.empty() ? std::string_view() : view_of(fields[name]);
+}
+
+std::string_view
+field_value(const header_fields& fields, std::string_view name)
+{
+    for (const auto& field : fields)
+    {
+        if (!name.empty() && beast::iequals(field.name, name))
+        {
+            return field.value;
+        }
+    }
+    return {};
 }
 
 header_fields returned_fields(const http::fields& fields)
--- a/src/adapters/http_fields.hpp
+++ b/src/adapters/http_fields.hpp
@@ -1,6 +1,7 @@
 // Which header fields pass through a node, and which it adds.
 #pragma once
 
+#include "ports/dialect.hpp"
 #include "wire/frame_codec.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -10,19 +11,23 @@
 namespace cyclamenhold
 {
 
-inline constexpr std::string_view outcome_field = "Cyclamen-Outcome";
-inline constexpr std::string_view reason_field = "Cyclamen-Reason";
-inline constexpr std::string_view trace_field = "Cyclamen-Trace";
-inline constexpr std::string_view call_field = "Cyclamen-Call";
-inline constexpr std::string_view deadline_field = "Cyclamen-Deadline-Ms";
-inline constexpr std::string_view timeout_field = "Cyclamen-Timeout-Ms";
 inline constexpr std::string_view idempotency_field = "Idempotency-Key";
 
 // The fields of a caller's request that travel to the upstream: no credential,
 // no hop-by-hop field, none of this system's own, and none whose value holds
-// `key`, in whatever field the caller put it.
+// `key`, in whatever field the caller put it. Fields that only the system may
+// set are left out too.
 [[nodiscard]] header_fields forwarded_fields(
-    const boost::beast::http::fields& fields, std::string_view key);
+    const boost::beast::http::fields& fields, const header_names& names,
+    std::string_view key);
+
+// The value of the field with this name; empty without one or without a name.
+[[nodiscard]] std::string_view field_value(
+    const boost::beast::http::fields& fields, const std::string& name);
+
+// The value of a kept field with this name, in any case.
+[[nodiscard]] std::string_view
+field_value(const header_fields& fields, std::string_view name);
 
 // The fields of an upstream's reply that travel to the caller.
 [[nodiscard]] header_fields
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -60,8 +60,10 @@
     {
         const std::scoped_lock lock(gate->pool.mutex);
         call.endpoint = gate->pool.endpoint;
+        call.upstream_id = gate->pool.upstream_id;
     }
     call.handle = request->handle;
+    call.names = &gate->services.dialect.headers;
     call.body_stall_timeout = gate->services.limits.body_stall_timeout;
     call.report = [gate, record = request->record]
     {
@@ -200,11 +202,11 @@
 
 void set_upstream(
     local_gate& gate, const upstream_record& record,
-    const asio::ip::tcp::endpoint& endpoint)
+    const upstream_address& address)
 {
     if (record.state != upstream_state::absent)
     {
-        set_endpoint(gate.pool, endpoint);
+        set_address(gate.pool, address);
     }
     gate_verdicts verdicts;
     {
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -49,7 +49,7 @@
 // Takes a change of the local upstream.
 void set_upstream(
     local_gate& gate, const upstream_record& record,
-    const asio::ip::tcp::endpoint& endpoint);
+    const upstream_address& address);
 
 // Drops expired work; called about every 10 ms.
 void tick_gate(local_gate& gate);
--- a/src/adapters/logging.cpp
+++ b/src/adapters/logging.cpp
@@ -111,9 +111,10 @@
 log4cplus::SharedAppenderPtr make_appender(const std::string& file)
 {
     log4cplus::SharedAppenderPtr appender;
-    if (file == "-")
+    if (file == "-" || file == "stdout")
     {
-        appender = new log4cplus::ConsoleAppender(true, true);
+        const bool to_error_stream = file == "-";
+        appender = new log4cplus::ConsoleAppender(to_error_stream, true);
     }
     else
     {
@@ -163,7 +164,8 @@
     json_log& log, const std::string& node, log_level lowest,
     const std::string& file)
 {
-    if (file != "-" && !std::ofstream(file, std::ios::app))
+    const bool is_stream = file == "-" || file == "stdout";
+    if (!is_stream && !std::ofstream(file, std::ios::app))
     {
         return absl::NotFoundError(file + ": cannot be opened for the log");
     }
--- a/src/adapters/logging.hpp
+++ b/src/adapters/logging.hpp
@@ -69,7 +69,8 @@
     std::shared_ptr<const sink> out;
 };
 
-// Opens a log that appends to `file`, "-" for the standard error stream.
+// Opens a log that appends to `file`, "-" for the standard error stream,
+// "stdout" for the standard output.
 [[nodiscard]] absl::Status open_log(
     json_log& log, const std::string& node, log_level lowest,
     const std::string& file);
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -1,6 +1,7 @@
 #include "adapters/node_runtime.hpp"
 
 #include "adapters/clock.hpp"
+#include "adapters/decision_log.hpp"
 #include "core/events/event_json.hpp"
 
 #include <boost/json.hpp>
@@ -26,6 +27,8 @@
           gate(services),
           control(services, gate, wakeups, seed)
     {
+        decisions.most_per_second = settings.log.decisions_per_second;
+        control.key_trust = settings.key_trust;
     }
 
     node_settings settings;
@@ -45,6 +48,9 @@
     std::unique_ptr<tcp_acceptor> upstream_acceptor;
     std::unique_ptr<tcp_acceptor> peers_acceptor;
     std::unique_ptr<tcp_acceptor> operators_acceptor;
+    // Null without such an endpoint.
+    std::unique_ptr<tcp_acceptor> ready_acceptor;
+    decision_log decisions;
     std::vector<std::thread> running;
     std::atomic<std::size_t> next_thread{0};
     std::atomic<std::size_t> sessions{0};
@@ -88,6 +94,10 @@
     node.upstream_acceptor = open_acceptor(first, listen.upstream);
     node.peers_acceptor = open_acceptor(first, listen.peers);
     node.operators_acceptor = open_acceptor(node.control.io, listen.operators);
+    if (listen.ready)
+    {
+        node.ready_acceptor = open_acceptor(node.control.io, *listen.ready);
+    }
     node.ports.callers = bound_endpoint(*node.callers_acceptor);
     node.ports.upstream = bound_endpoint(*node.upstream_acceptor);
     node.ports.peers = bound_endpoint(*node.peers_acceptor);
@@ -206,6 +216,13 @@
     membership.suspicion_time = node.settings.membership.suspicion_time;
     membership.indirect_probes = node.settings.membership.indirect_probes;
     settings.chain = {node.services.self, data_centre};
+    const node_dialect& dialect = node.services.dialect;
+    if (dialect.read_document != nullptr)
+    {
+        settings.document.key = dialect.document_key;
+        settings.document.read = dialect.read_document;
+        settings.document.fleet_secret = node.services.fleet_secret;
+    }
     settings.rates.self = node.services.self;
     settings.rates.data_centre = data_centre;
     settings.rates.term = node.settings.rates.term;
@@ -222,6 +239,7 @@
     node.services.record = [&node](const event& seen)
     {
         node.events->record(seen);
+        log_decision(node.decisions, node.log, seen);
     };
     node.services.stamp_send = [&node]
     {
@@ -274,13 +292,13 @@
     {
         post_announcement(node.control, announcement);
     };
-    node.upstream_side.drain = [&node]
+    node.upstream_side.drain = [&node](const upstream_departure&)
     {
         post_upstream_drain(node.control);
     };
-    node.upstream_side.leave = [&node]
+    node.upstream_side.leave = [&node](const upstream_departure& departure)
     {
-        post_upstream_leave(node.control);
+        post_upstream_leave(node.control, departure);
     };
 }
 
@@ -318,6 +336,13 @@
     return write_prometheus(node.measured);
 }
 
+// Callers are asked for as soon as their requests can be judged.
+bool is_ready(const node_runtime& node)
+{
+    return !node.services.path.draining &&
+           node.services.path.tables.read()->revision != 0;
+}
+
 void prepare_operators(node_runtime& node, const std::string& credential)
 {
     node.operators.control = &node.control;
@@ -331,6 +356,12 @@
     {
         return events_reply(node, target);
     };
+    node.operators.ready = [&node]
+    {
+        return is_ready(node);
+    };
+    node.operators.has_open_metrics =
+        node.settings.interface == interface_kind::platform;
     node.operators.drain = [&node]
     {
         node.stop_asked = true;
@@ -346,6 +377,13 @@
         node.control.io,
         serve_operators(node.operators, *node.operators_acceptor),
         asio::detached);
+    if (node.ready_acceptor)
+    {
+        asio::co_spawn(
+            node.control.io,
+            serve_operators(node.operators, *node.ready_acceptor),
+            asio::detached);
+    }
     asio::co_spawn(
         node.threads.front()->io, tick_gate_regularly(&node), asio::detached);
     node.running.emplace_back(
@@ -426,9 +464,12 @@
     boost::system::error_code ignored;
     for (auto* acceptor :
          {&node.callers_acceptor, &node.upstream_acceptor, &node.peers_acceptor,
-          &node.operators_acceptor})
+          &node.operators_acceptor, &node.ready_acceptor})
     {
-        (*acceptor)->close(ignored);
+        if (*acceptor)
+        {
+            (*acceptor)->close(ignored);
+        }
     }
 }
 
@@ -481,7 +522,7 @@
 
 absl::StatusOr<std::shared_ptr<node_runtime>> start_node(
     const node_settings& settings, const node_secrets& secrets,
-    const json_log& log)
+    const node_dialect& dialect, const json_log& log)
 {
     const std::uint64_t started_ms = wall_clock_ms();
     auto node = std::make_shared<node_runtime>(settings, log, started_ms);
@@ -489,6 +530,8 @@
     node->services.path.fleet_secret = secrets.fleet_secret;
     node->services.self_incarnation = started_ms;
     node->services.limits = limits_of(settings.limits);
+    node->services.dialect = dialect;
+    node->services.local_service = settings.service;
     for (unsigned i = 0; i < settings.request_threads; ++i)
     {
         node->threads.push_back(std::make_unique<request_thread>(
@@ -509,6 +552,7 @@
         platform_connection_settings platform;
         platform.endpoint = tcp_endpoint_of(settings.platform);
         platform.seed = started_ms;
+        platform.codec = dialect.store;
         start_control(
             node->control, control_settings_of(*node), open_datagrams(*node),
             platform);
--- a/src/adapters/node_services.hpp
+++ b/src/adapters/node_services.hpp
@@ -7,6 +7,7 @@
 #include "core/base/ids.hpp"
 #include "core/events/hybrid_clock.hpp"
 #include "core/request/call.hpp"
+#include "ports/dialect.hpp"
 #include "ports/events.hpp"
 #include "ports/messages.hpp"
 
@@ -39,6 +40,9 @@
     host_id self = host_id::none;
     incarnation self_incarnation = 0;
     std::string fleet_secret;
+    node_dialect dialect;
+    // The service of the upstream on this host, as the settings give it.
+    std::string local_service;
     http_limits limits;
     request_path path;
     std::atomic<std::uint64_t> next_call{1};
--- a/src/adapters/operators_api.hpp
+++ b/src/adapters/operators_api.hpp
@@ -40,6 +40,10 @@
     std::function<std::string()> metrics;
     // The answer to GET /v1/events, by its target.
     std::function<operator_reply(const std::string&)> events;
+    // Whether callers should come here, for GET /ready.
+    std::function<bool()> ready;
+    // GET /metrics needs no credential.
+    bool has_open_metrics = false;
     // Begins the node's planned stop.
     std::function<void()> drain;
 };
--- a/src/adapters/operators_port.cpp
+++ b/src/adapters/operators_port.cpp
@@ -45,7 +45,15 @@
 asio::awaitable<operator_reply>
 answer(operators_api& api, const string_request& request)
 {
-    if (!is_credential(bearer_of(request), api.credential))
+    const std::string_view path(request.target().data(), request.target().size());
+    const bool is_get = request.method() == http::verb::get;
+    if (is_get && path == "/ready")
+    {
+        const bool ready = api.ready && api.ready();
+        co_return operator_reply{ready ? 200U : 503U, "text/plain", {}};
+    }
+    const bool is_open = is_get && path == "/metrics" && api.has_open_metrics;
+    if (!is_open && !is_credential(bearer_of(request), api.credential))
     {
         co_return operator_reply{
             401, "application/json",
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -2,7 +2,6 @@
 
 #include "adapters/clock.hpp"
 #include "adapters/http_client.hpp"
-#include "adapters/platform_protocol.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -101,10 +100,13 @@
     {
         co_return unavailable_reply(call);
     }
+    const platform_codec& codec = client.settings.codec;
+    platform_request encoded = codec.encode_call(call);
     http_call request;
-    request.method = "POST";
-    request.target = platform_target(call.operation);
-    request.body = encode_platform_call(call);
+    request.method = std::move(encoded.method);
+    request.target = std::move(encoded.target);
+    request.body = std::move(encoded.body);
+    request.headers.push_back({"Content-Type", "application/json"});
     request.timeout = deadline - now();
     auto& pool = is_watch ? client.watches : client.calls;
     const http_result result = co_await http_send(pool, std::move(request));
@@ -113,8 +115,17 @@
         note_failure(client);
         co_return unavailable_reply(call);
     }
-    note_success(client);
-    auto reply = decode_platform_reply(result.body);
+    auto reply = codec.decode_reply(call, {result.http_status, result.body});
+    if (!reply.ok() || reply->status == platform_status::unavailable ||
+        reply->status == platform_status::rejected)
+    {
+        // Also a refusal for load is a reason to call less.
+        note_failure(client);
+    }
+    else
+    {
+        note_success(client);
+    }
     if (!reply.ok())
     {
         co_return unavailable_reply(call);
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -20,16 +20,17 @@
 struct platform_connection_settings
 {
     boost::asio::ip::tcp::endpoint endpoint;
-    std::size_t connections = 4;
+    std::size_t connections = 2;
     // Watches wait on connections of their own.
-    std::size_t watch_connections = 8;
+    std::size_t watch_connections = 4;
     // Calls beyond this number are answered `unavailable` at once.
     std::size_t most_pending_calls = 1'000;
     // After a failure no connection is made for a random time up to a bound,
     // which doubles from the first to the last.
     duration first_backoff = 50ms;
-    duration last_backoff = 5s;
+    duration last_backoff = 1s;
     std::uint64_t seed = 1;
+    platform_codec codec;
 };
 
 using platform_callback = std::function<void(platform_reply)>;
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/json.hpp>
 
+#include <array>
 #include <cmath>
+#include <cstdio>
 
 namespace cyclamenhold
 {
@@ -16,9 +18,22 @@
 
 constexpr unsigned http_version_1_1 = 11;
 
-std::string field_name(std::string_view name)
+const header_names& names_of(const caller_connection& caller)
 {
-    return std::string(name);
+    return caller.thread.services.dialect.headers;
+}
+
+// Retry-After in seconds; fractions only where callers read them.
+std::string retry_after_text(duration time, bool fractional)
+{
+    if (!fractional)
+    {
+        return std::to_string(
+            static_cast<std::int64_t>(std::ceil(to_seconds(time))));
+    }
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", to_seconds(time));
+    return text.data();
 }
 
 bool keeps_alive(const caller_connection& caller)
@@ -35,8 +50,9 @@
 {
     response.version(http_version_1_1);
     response.keep_alive(keeps_alive(caller));
-    response.set(field_name(trace_field), to_string(trace));
-    response.set(field_name(outcome_field), std::string(name_of(result)));
+    const header_names& names = names_of(caller);
+    response.set(names.trace, to_string(trace));
+    response.set(names.outcome, std::string(name_of(result)));
 }
 
 template <class Response>
@@ -180,8 +196,8 @@
     co_return true;
 }
 
-// Small replies that a peer link delivers in pieces are put together, so that
-// they go to the caller in one write.
+} // namespace
+
 asio::awaitable<bool> gather_small(exchange_ptr work, reply_event& first)
 {
     const auto size = first.head->body_size;
@@ -197,8 +213,6 @@
     co_return true;
 }
 
-} // namespace
-
 asio::awaitable<delivered_reply> deliver_reply(
     caller_ptr caller, exchange_ptr work, reply_event first, trace_id trace)
 {
@@ -211,14 +225,6 @@
             delivered.content_type = value;
         }
     }
-    const bool gathered = co_await gather_small(work, first);
-    if (!gathered)
-    {
-        // Nothing has been written yet, so the cut is shown by a status.
-        co_await write_refusal(
-            caller, refusal::upstream_failed, outcome::unknown, {}, trace);
-        co_return delivered;
-    }
     if (first.last)
     {
         keep(delivered, first.bytes);
@@ -242,19 +248,20 @@
     trace_id trace)
 {
     http::response<http::string_body> response;
-    response.result(http_status_of(reason));
+    response.result(http_status_of(reason, result));
     if (!caller->body_complete)
     {
         // The rest of the request is not read, so nothing can follow it.
         caller->must_close = true;
     }
     fill_common(response, *caller, trace, result);
-    response.set(field_name(reason_field), std::string(name_of(reason)));
+    const header_names& names = names_of(*caller);
+    response.set(names.reason, std::string(name_of(reason)));
     if (retry_after > duration::zero())
     {
-        const auto seconds =
-            static_cast<std::int64_t>(std::ceil(to_seconds(retry_after)));
-        response.set(http::field::retry_after, std::to_string(seconds));
+        response.set(
+            http::field::retry_after,
+            retry_after_text(retry_after, names.fractional_retry_after));
     }
     if (reason == refusal::unauthenticated)
     {
--- a/src/adapters/reply_writer.hpp
+++ b/src/adapters/reply_writer.hpp
@@ -25,6 +25,12 @@
 
 // Streams the reply of `work`, whose first event is `first`, to the caller. A
 // reply that is cut closes the connection before its end.
+// Small replies that a peer link delivers in pieces are put together, so that
+// they go to the caller in one write, and one that is cut can still be tried
+// again. False when it was cut.
+[[nodiscard]] asio::awaitable<bool>
+gather_small(exchange_ptr work, reply_event& first);
+
 [[nodiscard]] asio::awaitable<delivered_reply> deliver_reply(
     caller_ptr caller, exchange_ptr work, reply_event first, trace_id trace);
 
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -126,6 +126,20 @@
     return endpoint;
 }
 
+// "a, b or c".
+template <class Enum>
+std::string choices_of()
+{
+    const auto& table = enum_names<Enum>::table;
+    std::string text(table.front().second);
+    for (std::size_t index = 1; index < table.size(); ++index)
+    {
+        text += index + 1 == table.size() ? " or " : ", ";
+        text += table[index].second;
+    }
+    return text;
+}
+
 // Reads one value into the member of the type that the table names.
 struct value_reader
 {
@@ -217,19 +231,21 @@
         }
     }
 
-    void operator()(member_of<log_level> member) const
+    template <class Enum>
+    requires std::is_enum_v<Enum>
+    void operator()(member_of<Enum> member) const
     {
         const auto text = read_text(place(), value, found());
         if (!text)
         {
             return;
         }
-        if (const auto level = value_named<log_level>(*text))
+        if (const auto named = value_named<Enum>(*text))
         {
-            member(reader.result.settings) = *level;
+            member(reader.result.settings) = *named;
             return;
         }
-        add_finding(found(), place(), "must be debug, info, warning or error");
+        add_finding(found(), place(), "must be " + choices_of<Enum>());
     }
 };
 
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -5,6 +5,7 @@
 #include "core/base/findings.hpp"
 #include "core/base/ip_endpoint.hpp"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,23 @@
 namespace cyclamenhold
 {
 
+// Whose interface the node speaks: how callers, the upstream, operators and
+// the store spell what they say.
+enum class interface_kind : std::uint8_t
+{
+    cyclamen,
+    platform
+};
+
+template <>
+struct enum_names<interface_kind>
+{
+    static constexpr std::array<std::pair<interface_kind, std::string_view>, 2>
+        table{
+            {{interface_kind::cyclamen, "cyclamen"},
+             {interface_kind::platform, "platform"}}};
+};
+
 struct listen_settings
 {
     // HTTP/1.1 for callers.
@@ -25,6 +43,8 @@
     ip_endpoint peers;
     // The operators' API, metrics and events.
     ip_endpoint operators;
+    // Answers 200 while the node is ready for callers.
+    std::optional<ip_endpoint> ready;
 };
 
 struct limit_settings
@@ -64,6 +84,8 @@
     log_level level = log_level::info;
     // "-" for the standard error stream.
     std::string file = "-";
+    // Lines about single requests and beliefs; those beyond are counted.
+    std::uint32_t decisions_per_second = 50;
 };
 
 struct node_settings
@@ -71,6 +93,10 @@
     std::string name;
     std::string data_centre;
     std::string region;
+    interface_kind interface = interface_kind::cyclamen;
+    // The service of the upstream on this host, told to other upstreams with
+    // the requests that enter here.
+    std::string service;
     listen_settings listen;
     // Where other nodes reach this one; `listen.peers` when not given.
     std::optional<ip_endpoint> advertise;
@@ -90,6 +116,9 @@
     log_settings log;
     // Events kept in memory for the time line.
     std::uint32_t event_ring_size = 65'536;
+    // Keys are trusted for so long after the configuration here was last known
+    // to be the newest; zero for ever.
+    std::chrono::milliseconds key_trust{0};
     // A planned stop that takes longer cuts what is left.
     std::chrono::milliseconds stop_timeout{30'000};
 };
--- a/src/adapters/settings_checks.cpp
+++ b/src/adapters/settings_checks.cpp
@@ -54,6 +54,7 @@
     auto& [settings, found] = result;
     const auto& listen = settings.listen;
     if (seen.contains("/listen/upstream") && listen.upstream != ip_endpoint{} &&
+        settings.interface == interface_kind::cyclamen &&
         !is_loopback(listen.upstream))
     {
         add_finding(found, "/listen/upstream", "must be a loopback address");
--- a/src/adapters/settings_reference.cpp
+++ b/src/adapters/settings_reference.cpp
@@ -31,7 +31,9 @@
     {
         return std::to_string(member(settings).count());
     }
-    std::string operator()(member_of<log_level> member) const
+    template <class Enum>
+    requires std::is_enum_v<Enum> std::string
+    operator()(member_of<Enum> member) const
     {
         return in_code(std::string(name_of(member(settings))));
     }
@@ -61,10 +63,12 @@
     {
         return "array of `IPv4:port`";
     }
-    std::string operator()(member_of<log_level> /*member*/) const
+    template <class Enum>
+    requires std::is_enum_v<Enum> std::string
+    operator()(member_of<Enum> /*member*/) const
     {
         std::string text;
-        for (const auto& [level, name] : enum_names<log_level>::table)
+        for (const auto& [value, name] : enum_names<Enum>::table)
         {
             text += (text.empty() ? "`" : ", `") + std::string(name) + '`';
         }
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -29,6 +29,13 @@
     setting_entry{
         "/region", CYCLAMEN_MEMBER(region), required, 0, 0, "",
         "The region that the data centre belongs to."},
+    setting_entry{
+        "/interface", CYCLAMEN_MEMBER(interface), optional, 0, 0, "",
+        "Whose interface the node speaks to callers, the upstream, operators "
+        "and the key-value service."},
+    setting_entry{
+        "/service", CYCLAMEN_MEMBER(service), optional, 0, 0, "",
+        "The service of the upstream on this host."},
     setting_entry{
         "/listen/callers", CYCLAMEN_MEMBER(listen.callers), required, 0, 0, "",
         "HTTP/1.1 for callers."},
@@ -36,13 +43,16 @@
         "/listen/upstream", CYCLAMEN_MEMBER(listen.upstream), required, 0, 0,
         "",
         "HTTP/1.1 for the upstream on this host: announcements, drain and "
-        "child calls. Must be a loopback address."},
+        "child calls. A loopback address, but on the platform's interface."},
     setting_entry{
         "/listen/peers", CYCLAMEN_MEMBER(listen.peers), required, 0, 0, "",
         "Other nodes; TCP and UDP at the same port."},
     setting_entry{
         "/listen/operators", CYCLAMEN_MEMBER(listen.operators), required, 0, 0,
         "", "The operators' API, the metrics and the events."},
+    setting_entry{
+        "/listen/ready", CYCLAMEN_MEMBER(listen.ready), optional, 0, 0, "",
+        "HTTP/1.1 for checks whether the node is ready for callers."},
     setting_entry{
         "/advertise", CYCLAMEN_MEMBER(advertise), optional, 0, 0, "",
         "Where other nodes reach this one. Required when `/listen/peers` is "
@@ -125,7 +135,18 @@
         "The least serious lines that are written."},
     setting_entry{
         "/log/file", CYCLAMEN_MEMBER(log.file), optional, 0, 0, "",
-        "Where lines go; `-` is the standard error stream."},
+        "Where lines go; `-` is the standard error stream, `stdout` the "
+        "standard output."},
+    setting_entry{
+        "/log/decisions_per_second",
+        CYCLAMEN_MEMBER(log.decisions_per_second), optional, 0, 100'000,
+        "lines/s",
+        "Most lines about single requests and beliefs; those beyond are "
+        "counted."},
+    setting_entry{
+        "/key_trust_ms", CYCLAMEN_MEMBER(key_trust), optional, 0, hour_ms, "ms",
+        "Keys are refused when the configuration was last known to be the "
+        "newest longer ago than this; 0 for never."},
     setting_entry{
         "/event_ring_size", CYCLAMEN_MEMBER(event_ring_size), optional, 0,
         10'000'000, "events", "Events kept in memory for the time line."},
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -65,14 +65,24 @@
         message.insert(name, value);
     }
     const auto left = to_milliseconds(call.work->context.deadline - now());
-    message.set(
-        http::field::host, call.endpoint.address().to_string() + ':' +
-                               std::to_string(call.endpoint.port()));
-    message.set(std::string(call_field), call.handle);
-    message.set(
-        std::string(deadline_field),
-        std::to_string(std::max<std::int64_t>(0, left)));
-    message.set(std::string(trace_field), to_string(call.work->context.trace));
+    const header_names& names = *call.names;
+    if (!names.forwards_host)
+    {
+        message.set(
+            http::field::host, call.endpoint.address().to_string() + ':' +
+                                   std::to_string(call.endpoint.port()));
+    }
+    const auto set = [&message](const std::string& name, std::string_view value)
+    {
+        if (!name.empty() && !value.empty())
+        {
+            message.set(name, value);
+        }
+    };
+    set(names.call_handle, call.handle);
+    set(names.remaining, std::to_string(std::max<std::int64_t>(0, left)));
+    set(names.trace, to_string(call.work->context.trace));
+    set(names.upstream_id, call.upstream_id);
 }
 
 void consumed_body(const upstream_call& call, std::size_t bytes)
@@ -221,21 +231,118 @@
     return call.work->head.method == "HEAD" || status == 204 || status == 304;
 }
 
+// Reads and drops the rest of a reply's body.
+asio::awaitable<beast::error_code>
+skip_body(upstream_call& call, response_parser& parser)
+{
+    auto space = std::make_unique_for_overwrite<piece_space>();
+    std::string dropped;
+    while (!parser.is_done())
+    {
+        const auto error = co_await read_piece(call, parser, *space, dropped);
+        if (error)
+        {
+            co_return error;
+        }
+    }
+    co_return beast::error_code();
+}
+
+// Whether the reply answers another request: a late second answer to an
+// earlier one on this connection.
+bool is_of_other_request(
+    const upstream_call& call, const response_parser& parser)
+{
+    const std::string& name = call.names->request_id;
+    const auto sent = field_value(call.work->head.headers, name);
+    return !sent.empty() && field_value(parser.get().base(), name) != sent;
+}
+
+// Reads the head of the request's own reply into `parser`.
+asio::awaitable<beast::error_code> read_own_head(
+    upstream_call& call, std::unique_ptr<response_parser>& parser)
+{
+    constexpr int most_skipped = 3;
+    for (int skipped = 0; skipped <= most_skipped; ++skipped)
+    {
+        parser = std::make_unique<response_parser>();
+        parser->header_limit(max_reply_header_bytes);
+        parser->body_limit(boost::none);
+        auto& stream = call.connection->stream;
+        stream.expires_at(call.work->context.deadline);
+        auto [error, count] = co_await http::async_read_header(
+            stream, call.connection->buffer, *parser,
+            asio::as_tuple(asio::use_awaitable));
+        if (error || !is_of_other_request(call, *parser))
+        {
+            co_return error;
+        }
+        call.connection->has_strayed = true;
+        error = co_await skip_body(call, *parser);
+        if (error)
+        {
+            co_return error;
+        }
+    }
+    co_return http::error::bad_field;
+}
+
+// The upstream says that it has not run the request.
+bool says_not_run(const upstream_call& call, const response_parser& parser)
+{
+    constexpr unsigned misdirected = 421;
+    return parser.get().result_int() == misdirected ||
+           !field_value(parser.get().base(), call.names->not_run).empty();
+}
+
+// Passes an upstream's own refusal on as one of its node, which another
+// upstream may make good.
+asio::awaitable<upstream_result>
+refuse_for_upstream(upstream_call& call, response_parser& parser)
+{
+    const bool keep_alive = parser.keep_alive();
+    const unsigned status = parser.get().result_int();
+    const bool shed = status == 503 || status == 429;
+    const auto error = co_await skip_body(call, parser);
+    set_abort(*call.work, nullptr);
+    fail(
+        *call.work,
+        {shed ? refusal::overloaded : refusal::no_upstream, outcome::not_run},
+        call.report(), call.returned_allowance());
+    co_return upstream_result{
+        shed ? gate_result::shed : gate_result::failed, false,
+        !error && keep_alive};
+}
+
+// A reply that claims success without the upstream's signature is not its.
+bool lacks_signature(const upstream_call& call, const response_parser& parser)
+{
+    const unsigned status = parser.get().result_int();
+    const std::string& name = call.names->signature;
+    return !name.empty() && status >= 200 && status < 300 &&
+           field_value(parser.get().base(), name).empty();
+}
+
 // Moves the reply to the exchange. The head goes with the first piece.
 asio::awaitable<upstream_result> receive_reply(upstream_call& call)
 {
-    auto parser = std::make_unique<response_parser>();
-    parser->header_limit(max_reply_header_bytes);
-    parser->body_limit(boost::none);
+    std::unique_ptr<response_parser> parser;
+    const beast::error_code error = co_await read_own_head(call, parser);
     auto& stream = call.connection->stream;
-    stream.expires_at(call.work->context.deadline);
-    auto [error, count] = co_await http::async_read_header(
-        stream, call.connection->buffer, *parser,
-        asio::as_tuple(asio::use_awaitable));
     if (error)
     {
         co_return fail_call(call, error, failure_after(error));
     }
+    if (says_not_run(call, *parser))
+    {
+        co_return co_await refuse_for_upstream(call, *parser);
+    }
+    if (lacks_signature(call, *parser))
+    {
+        co_return fail_call(
+            call, http::error::bad_field,
+            {refusal::upstream_failed, outcome::unknown});
+    }
     reply_event event = make_head_event(call, *parser);
     const unsigned status = parser->get().result_int();
     const bool bodyless = is_bodyless(call, status);
@@ -280,7 +387,8 @@
     const bool shed = status == 503 || status == 429;
     co_return upstream_result{
         shed ? gate_result::shed : gate_result::replied, false,
-        parser->keep_alive() && !bodyless};
+        parser->keep_alive() && !bodyless && !call.connection->has_strayed &&
+            call.connection->buffer.size() == 0};
 }
 
 } // namespace
--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -23,6 +23,9 @@
     // The opaque value for the upstream's child calls.
     std::string handle;
     std::chrono::milliseconds body_stall_timeout{10'000};
+    const header_names* names = nullptr;
+    // Names the upstream's process, where its replies tell.
+    std::string upstream_id;
     // The gate's report, asked for when the head of the reply is there.
     std::function<load_report()> report;
     // What the child calls left of the retry allowance.
--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -21,27 +21,76 @@
     return monitor.record.state != upstream_state::absent;
 }
 
+bool is_same_process(
+    const upstream_monitor& monitor, const upstream_announcement& announcement)
+{
+    return monitor.id == announcement.id &&
+           monitor.started_ms == announcement.started_ms &&
+           monitor.endpoint == endpoint_of(announcement.endpoint) &&
+           monitor.record.service == announcement.record.service;
+}
+
+// Said by an earlier process, or by this one before what is already known.
+bool is_outdated(
+    const upstream_monitor& monitor, const upstream_announcement& announcement)
+{
+    if (announcement.started_ms == 0)
+    {
+        return false;
+    }
+    if (announcement.started_ms != monitor.started_ms)
+    {
+        return announcement.started_ms < monitor.started_ms;
+    }
+    return monitor.id == announcement.id &&
+           (monitor.has_left || announcement.sequence <= monitor.sequence);
+}
+
+void start_life(
+    upstream_monitor& monitor, const upstream_announcement& announcement,
+    time_point now)
+{
+    const bool draining =
+        announcement.record.state == upstream_state::draining;
+    monitor.record = announcement.record;
+    monitor.endpoint = endpoint_of(announcement.endpoint);
+    monitor.id = announcement.id;
+    monitor.started_ms = announcement.started_ms;
+    monitor.has_left = false;
+    ++monitor.life;
+    monitor.warm_until = now + announcement.warm_up;
+    monitor.record.state = draining ? upstream_state::draining
+                           : announcement.warm_up > duration::zero()
+                               ? upstream_state::warming
+                               : upstream_state::serving;
+}
+
 } // namespace
 
+asio::ip::tcp::endpoint endpoint_of(const ip_endpoint& endpoint)
+{
+    return {asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
 std::optional<upstream_record> on_announcement(
     upstream_monitor& monitor, const upstream_announcement& announcement,
     time_point now)
 {
-    const bool same_process =
-        is_announced(monitor) && monitor.endpoint == announcement.endpoint &&
-        monitor.record.service == announcement.record.service;
+    if (is_outdated(monitor, announcement))
+    {
+        return std::nullopt;
+    }
+    monitor.sequence = announcement.sequence;
     monitor.announced_at = now;
-    if (!same_process)
+    if (!is_announced(monitor) || !is_same_process(monitor, announcement))
     {
-        monitor.record = announcement.record;
-        monitor.endpoint = announcement.endpoint;
-        ++monitor.life;
-        monitor.warm_until = now + announcement.warm_up;
-        monitor.record.state = announcement.warm_up > duration::zero()
-                                   ? upstream_state::warming
-                                   : upstream_state::serving;
+        start_life(monitor, announcement, now);
         return monitor.record;
     }
+    if (announcement.record.state == upstream_state::draining)
+    {
+        return on_drain(monitor);
+    }
     const bool resized =
         monitor.record.slots != announcement.record.slots ||
         monitor.record.connections != announcement.record.connections;
@@ -63,8 +112,18 @@
     return change_state(monitor, upstream_state::draining);
 }
 
-std::optional<upstream_record> on_leave(upstream_monitor& monitor)
+std::optional<upstream_record>
+on_leave(upstream_monitor& monitor, const upstream_departure& departure)
 {
+    const bool is_other =
+        departure.id != monitor.id ||
+        (departure.started_ms != 0 && monitor.started_ms != 0 &&
+         departure.started_ms != monitor.started_ms);
+    if (is_other && !departure.id.empty())
+    {
+        return std::nullopt;
+    }
+    monitor.has_left = true;
     return change_state(monitor, upstream_state::absent);
 }
 
--- a/src/adapters/upstream_pool.cpp
+++ b/src/adapters/upstream_pool.cpp
@@ -40,14 +40,18 @@
 
 } // namespace
 
-void set_endpoint(upstream_pool& pool, const asio::ip::tcp::endpoint& endpoint)
+void set_address(upstream_pool& pool, const upstream_address& address)
 {
     const std::scoped_lock lock(pool.mutex);
-    if (pool.endpoint == endpoint)
+    const auto& [endpoint, id, life] = address;
+    if (pool.endpoint == endpoint && pool.upstream_id == id &&
+        pool.life == life)
     {
         return;
     }
     pool.endpoint = endpoint;
+    pool.upstream_id = id;
+    pool.life = life;
     ++pool.generation;
     pool.idle.clear();
 }
--- a/src/adapters/upstream_pool.hpp
+++ b/src/adapters/upstream_pool.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace cyclamenhold
@@ -27,22 +28,35 @@
     boost::beast::flat_buffer buffer;
     // The announcement it belongs to; older ones are not used again.
     std::uint64_t generation = 0;
+    // Has brought a reply to a request that was over.
+    bool has_strayed = false;
     // Has carried a request before.
     bool used = false;
 };
 
 using upstream_connection_ptr = std::shared_ptr<upstream_connection>;
 
+// Where the upstream listens, and which process of it.
+struct upstream_address
+{
+    asio::ip::tcp::endpoint endpoint;
+    std::string id;
+    std::uint64_t life = 0;
+    bool operator==(const upstream_address&) const = default;
+};
+
 struct upstream_pool
 {
     std::mutex mutex;
     asio::ip::tcp::endpoint endpoint;
+    std::string upstream_id;
+    std::uint64_t life = 0;
     std::uint64_t generation = 0;
     std::vector<upstream_connection_ptr> idle;
 };
 
 // Points the pool at an upstream; connections to another one are dropped.
-void set_endpoint(upstream_pool& pool, const asio::ip::tcp::endpoint& endpoint);
+void set_address(upstream_pool& pool, const upstream_address& address);
 
 // An idle connection that looks alive, or a new unconnected one on `executor`.
 [[nodiscard]] upstream_connection_ptr
--- a/src/adapters/upstream_requests.cpp
+++ b/src/adapters/upstream_requests.cpp
@@ -47,22 +47,15 @@
     return std::string(value->as_string());
 }
 
-asio::ip::tcp::endpoint endpoint_at(const json::object& object, findings& found)
+ip_endpoint endpoint_at(const json::object& object, findings& found)
 {
     const std::string text = text_at(object, "endpoint", found);
-    const auto parsed = parse_host_id(text);
-    if (!parsed)
+    const auto parsed = parse_ip_endpoint(text);
+    if (!parsed && !text.empty())
     {
-        if (!text.empty())
-        {
-            add_finding(found, "/endpoint", "must be IPv4:port");
-        }
-        return {};
+        add_finding(found, "/endpoint", "must be IPv4:port");
     }
-    const auto value = static_cast<std::uint64_t>(*parsed);
-    return {
-        asio::ip::address_v4(static_cast<std::uint32_t>(value >> 16)),
-        static_cast<std::uint16_t>(value & 0xffff)};
+    return parsed.value_or(ip_endpoint{});
 }
 
 json::value findings_json(const findings& found)
@@ -119,6 +112,38 @@
     return announcement;
 }
 
+asio::awaitable<void> serve_notice(caller_ptr caller, upstream_port* port)
+{
+    const auto& request = caller->parser->get();
+    const std::string method(request.method_string());
+    const std::string target(request.target());
+    const auto notice = caller->thread.services.dialect.read_notice(
+        method, target, caller->prefix);
+    if (const auto* found = std::get_if<findings>(&notice))
+    {
+        event seen;
+        seen.kind = event_kind::bad_input;
+        seen.detail = "announcement: " + to_string(*found);
+        caller->thread.services.record(seen);
+        co_await write_json(caller, 400, findings_json(*found));
+        co_return;
+    }
+    if (const auto* announced = std::get_if<upstream_announcement>(&notice))
+    {
+        port->announce(*announced);
+    }
+    else if (const auto* left = std::get_if<upstream_departure>(&notice))
+    {
+        port->leave(*left);
+    }
+    else
+    {
+        co_await write_json(caller, 404, message_json("no such request"));
+        co_return;
+    }
+    co_await write_json(caller, 200, json::object{});
+}
+
 bool is_upstream_request(std::string_view target)
 {
     return target.starts_with(request_prefix);
@@ -148,11 +173,11 @@
     }
     else if (action == "drain")
     {
-        port->drain();
+        port->drain({});
     }
     else if (action == "leave")
     {
-        port->leave();
+        port->leave({});
     }
     else
     {
--- a/src/adapters/upstream_requests.hpp
+++ b/src/adapters/upstream_requests.hpp
@@ -18,6 +18,10 @@
 // True for a target that belongs to the node and not to a route.
 [[nodiscard]] bool is_upstream_request(std::string_view target);
 
+// Answers a request on the upstream's port in the dialect's spelling.
+[[nodiscard]] asio::awaitable<void>
+serve_notice(caller_ptr caller, upstream_port* port);
+
 // Answers such a request, whose body is the caller's prefix.
 [[nodiscard]] asio::awaitable<void>
 serve_upstream_request(caller_ptr caller, upstream_port* port);
--- a/src/apps/cyclamen-node/main.cpp
+++ b/src/apps/cyclamen-node/main.cpp
@@ -1,12 +1,14 @@
 // cyclamen-node: the process beside each upstream.
 #include "adapters/node_runtime.hpp"
 #include "adapters/secrets.hpp"
+#include "platform/dialect.hpp"
 
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <iostream>
 
 namespace
@@ -33,6 +35,8 @@
     options.add_options()("help", "show this text")(
         "version", "show the version")(
         "settings", "the settings file",
+        cxxopts::value<std::string>())(
+        "settings-variable", "the environment variable that names it",
         cxxopts::value<std::string>())("check", "check the settings and exit");
     return options;
 }
@@ -78,10 +82,36 @@
     return exit_ok;
 }
 
+std::string settings_path(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("settings") > 0)
+    {
+        return arguments["settings"].as<std::string>();
+    }
+    if (arguments.count("settings-variable") == 0)
+    {
+        return {};
+    }
+    const auto name = arguments["settings-variable"].as<std::string>();
+    const char* const path = std::getenv(name.c_str());
+    return path == nullptr ? "" : path;
+}
+
+node_dialect dialect_of(interface_kind interface)
+{
+    node_dialect dialect = platform::platform_dialect();
+    if (interface == interface_kind::cyclamen)
+    {
+        // The store is the platform's on both.
+        dialect = {{}, nullptr, nullptr, {}, dialect.store};
+    }
+    return dialect;
+}
+
 int run(const cxxopts::ParseResult& arguments)
 {
     auto [settings, found] =
-        load_settings(arguments["settings"].as<std::string>());
+        load_settings(settings_path(arguments));
     node_secrets secrets;
     if (found.empty())
     {
@@ -110,7 +140,8 @@
         std::cerr << status.message() << '\n';
         return exit_failed;
     }
-    const auto node = start_node(settings, secrets, log);
+    const node_dialect dialect = dialect_of(settings.interface);
+    const auto node = start_node(settings, secrets, dialect, log);
     if (!node.ok())
     {
         std::cerr << node.status().message() << '\n';
@@ -141,9 +172,10 @@
             std::cout << "cyclamen-node " CYCLAMEN_VERSION "\n";
             return exit_ok;
         }
-        if (arguments.count("settings") == 0)
+        if (settings_path(arguments).empty())
         {
-            std::cerr << "--settings FILE is needed\n";
+            std::cerr << "--settings FILE is needed, or --settings-variable "
+                         "with a variable that names it\n";
             return exit_bad_settings;
         }
         return run(arguments);
--- a/src/core/base/outcome.hpp
+++ b/src/core/base/outcome.hpp
@@ -149,4 +149,23 @@
     return 500;
 }
 
+// The statuses by which a refusal promises that the request has not run and
+// will not run.
+[[nodiscard]] constexpr bool is_promise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// The status for a refusal of a request with this outcome: a promise is made
+// only for one that has not run, and then also where its time was up.
+[[nodiscard]] constexpr unsigned http_status_of(refusal reason, outcome result)
+{
+    const unsigned status = http_status_of(reason);
+    if (result == outcome::not_run)
+    {
+        return reason == refusal::deadline_exceeded ? 503 : status;
+    }
+    return is_promise(status) ? 502 : status;
+}
+
 } // namespace cyclamenhold
--- /dev/null
+++ b/src/core/configuration/document_source.cpp
@@ -0,0 +1,359 @@
+#include "core/configuration/document_source.hpp"
+
+#include "core/configuration/chain_format.hpp"
+#include "core/configuration/chain_platform.hpp"
+
+#include <algorithm>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+using wire::configuration::message_body;
+
+constexpr duration read_timeout = 1s;
+// On top of the time that a watch waits; covers a slow platform.
+constexpr duration watch_grace = 1'500ms;
+constexpr duration shortest_backoff = 100ms;
+constexpr duration longest_backoff = 1s;
+// A node that learns of a newer version from peers first lets its own watch
+// answer.
+constexpr duration pull_delay = 250ms;
+constexpr duration pull_timeout = 700ms;
+// The most that a peer may make this node hold.
+constexpr std::uint32_t most_parts = 1'000;
+
+void emit(control_actions& actions, event_kind kind, std::string detail)
+{
+    event happened;
+    happened.kind = kind;
+    happened.detail = std::move(detail);
+    actions.events.push_back(std::move(happened));
+}
+
+void note_platform(
+    document_state& state, bool up, std::string detail,
+    control_actions& actions)
+{
+    if (state.platform_up != up)
+    {
+        state.platform_up = up;
+        emit(
+            actions,
+            up ? event_kind::platform_available
+               : event_kind::platform_unavailable,
+            std::move(detail));
+    }
+}
+
+platform_call& add_call(
+    document_state& state, platform_operation operation, duration timeout,
+    time_point now, control_actions& actions)
+{
+    platform_call call;
+    call.client = platform_client::configuration;
+    call.call_id = ++state.last_call_id;
+    call.operation = operation;
+    call.key = state.settings.key;
+    call.timeout = timeout;
+    state.call_id = call.call_id;
+    state.asked_at = now;
+    state.call_expires_at = now + timeout + watch_grace;
+    actions.platform_calls.push_back(std::move(call));
+    return actions.platform_calls.back();
+}
+
+void ask(document_state& state, time_point now, control_actions& actions)
+{
+    state.is_watch = state.platform_revision != 0;
+    if (!state.is_watch)
+    {
+        add_call(state, platform_operation::get, read_timeout, now, actions);
+        return;
+    }
+    auto& call = add_call(
+        state, platform_operation::watch, watch_grace, now, actions);
+    call.expected_version = state.platform_revision;
+    call.wait = state.settings.watch_time;
+    state.call_expires_at += call.wait;
+}
+
+void adopt(
+    document_state& state, chain_state& chain, configuration next,
+    std::string_view text, std::string from, time_point now,
+    control_actions& actions)
+{
+    emit(
+        actions, event_kind::configuration_applied,
+        "version " + std::to_string(next.revision) + " after " +
+            std::to_string(chain.current->revision) + " from " + from);
+    state.text = text;
+    chain.current = std::make_shared<const configuration>(std::move(next));
+    chain.applied_at = now;
+}
+
+// Takes a document that is newer than the one in force; false when it cannot
+// be read.
+bool take_document(
+    document_state& state, chain_state& chain, std::string_view text,
+    const std::string& from, time_point now, control_actions& actions)
+{
+    auto read = state.settings.read(text, state.settings.fleet_secret);
+    if (!read.ok())
+    {
+        emit(
+            actions, event_kind::configuration_rejected,
+            "from " + from + ": " + std::string(read.status().message()));
+        return false;
+    }
+    if (read->revision > chain.current->revision)
+    {
+        adopt(state, chain, *std::move(read), text, from, now, actions);
+    }
+    return true;
+}
+
+void fail(
+    document_state& state, const platform_reply& reply, time_point now,
+    random_source& random, control_actions& actions)
+{
+    note_platform(
+        state, false,
+        std::string(state.is_watch ? "watch: " : "read: ") +
+            std::string(name_of(reply.status)),
+        actions);
+    const std::uint32_t doublings = std::min(state.failures, 4U);
+    ++state.failures;
+    const duration bound =
+        std::min(shortest_backoff * (1 << doublings), longest_backoff);
+    state.next_call_at =
+        now + bound / 2 +
+        from_seconds(to_seconds(bound / 2) * random_fraction(random));
+}
+
+// When the platform had nothing newer than what this answer holds. An empty
+// watch ends no sooner than it has waited.
+time_point proven_at(
+    const document_state& state, const platform_reply& reply, time_point now)
+{
+    const time_point waited = state.asked_at + state.settings.watch_time;
+    return state.is_watch && reply.entries.empty() && now >= waited
+               ? waited
+               : state.asked_at;
+}
+
+// True when the newest version is in force here, or is one that no node can
+// read.
+bool take_entries(
+    document_state& state, chain_state& chain, const platform_reply& reply,
+    time_point now, control_actions& actions)
+{
+    // A watch may answer with several versions; the last one is in force.
+    for (auto entry = reply.entries.rbegin(); entry != reply.entries.rend();
+         ++entry)
+    {
+        if (entry->key != state.settings.key || entry->removed ||
+            entry->version <= state.rejected_version)
+        {
+            continue;
+        }
+        if (take_document(
+                state, chain, entry->value, "the platform", now, actions))
+        {
+            return true;
+        }
+        state.rejected_version = entry->version;
+    }
+    return chain.current->revision != 0;
+}
+
+void send(
+    host_id to, const chain_message& message, control_actions& actions)
+{
+    actions.messages.push_back(
+        {to, message_kind::configuration, transport::stream, encode(message)});
+}
+
+void pull_if_behind(
+    document_state& state, const chain_state& chain,
+    const membership_state& members, time_point now, control_actions& actions)
+{
+    if (members.highest_revision <= chain.current->revision ||
+        members.highest_revision_host == host_id::none)
+    {
+        state.behind_since = {};
+        return;
+    }
+    if (state.behind_since == time_point{})
+    {
+        state.behind_since = now;
+    }
+    if (now < state.behind_since + pull_delay || now < state.pull.expires_at)
+    {
+        return;
+    }
+    state.pull = {members.highest_revision_host, now + pull_timeout};
+    state.incoming = {};
+    chain_message message;
+    message.kind = message_body::pull;
+    message.revision = chain.current->revision;
+    send(state.pull.from, message, actions);
+}
+
+void answer_pull(
+    const document_state& state, const chain_state& chain, host_id to,
+    std::uint64_t after, control_actions& actions)
+{
+    if (chain.current->revision <= after || state.text.empty())
+    {
+        return;
+    }
+    const auto parts = split_snapshot(state.text);
+    chain_message message;
+    message.kind = message_body::snapshot_part;
+    message.snapshot = {
+        chain.current->revision, 0, static_cast<std::uint32_t>(parts.size())};
+    for (const auto& part : parts)
+    {
+        message.bytes = part;
+        send(to, message, actions);
+        ++message.part;
+    }
+}
+
+void take_part(
+    document_state& state, chain_state& chain, host_id from,
+    const chain_message& message, time_point now, control_actions& actions)
+{
+    // Only what was asked for, so that no peer makes this node hold more.
+    if (from != state.pull.from ||
+        message.snapshot.revision <= chain.current->revision ||
+        message.snapshot.parts > most_parts)
+    {
+        return;
+    }
+    if (state.incoming.head.revision != message.snapshot.revision)
+    {
+        state.incoming = {message.snapshot, from, {}};
+        state.incoming.parts.resize(message.snapshot.parts);
+    }
+    if (!add_snapshot_part(state.incoming, message.part, message.bytes))
+    {
+        return;
+    }
+    take_document(
+        state, chain, join_parts(state.incoming), "host " + to_string(from),
+        now, actions);
+    state.incoming = {};
+}
+
+} // namespace
+
+bool reads_documents(const document_state& state)
+{
+    return !state.settings.key.empty();
+}
+
+void document_start(document_state& state, chain_state& chain, time_point now)
+{
+    state.next_call_at = now;
+    chain.applied_at = now;
+}
+
+void document_tick(
+    document_state& state, chain_state& chain, const membership_state& members,
+    time_point now, random_source& random, control_actions& actions)
+{
+    if (state.call_id != 0 && now >= state.call_expires_at)
+    {
+        platform_reply lost;
+        lost.call_id = state.call_id;
+        lost.status = platform_status::unavailable;
+        document_on_platform_reply(state, chain, lost, now, random, actions);
+    }
+    if (state.call_id == 0 && now >= state.next_call_at)
+    {
+        ask(state, now, actions);
+    }
+    pull_if_behind(state, chain, members, now, actions);
+}
+
+void document_on_message(
+    document_state& state, chain_state& chain, const incoming_message& message,
+    time_point now, control_actions& actions)
+{
+    const auto decoded = decode_chain_message(message.payload);
+    if (!decoded.has_value())
+    {
+        event happened;
+        happened.kind = event_kind::bad_input;
+        happened.peer = message.from;
+        happened.detail = "configuration message";
+        actions.events.push_back(std::move(happened));
+        return;
+    }
+    if (decoded->kind == message_body::pull)
+    {
+        answer_pull(state, chain, message.from, decoded->revision, actions);
+    }
+    if (decoded->kind == message_body::snapshot_part)
+    {
+        take_part(state, chain, message.from, *decoded, now, actions);
+    }
+}
+
+void document_on_platform_reply(
+    document_state& state, chain_state& chain, const platform_reply& reply,
+    time_point now, random_source& random, control_actions& actions)
+{
+    if (reply.call_id != state.call_id)
+    {
+        return;
+    }
+    state.call_id = 0;
+    if (reply.status == platform_status::history_lost)
+    {
+        // What was missed shows in the document itself.
+        state.platform_revision = 0;
+        state.next_call_at = now;
+        return;
+    }
+    const bool answered = reply.status == platform_status::ok ||
+                          reply.status == platform_status::not_found;
+    if (!answered)
+    {
+        fail(state, reply, now, random, actions);
+        return;
+    }
+    state.failures = 0;
+    note_platform(state, true, {}, actions);
+    if (!take_entries(state, chain, reply, now, actions))
+    {
+        // There is no document yet.
+        state.next_call_at = now + shortest_backoff;
+        return;
+    }
+    state.next_call_at = now;
+    chain.platform_read_at =
+        std::max(chain.platform_read_at, proven_at(state, reply, now));
+    state.platform_revision =
+        std::max(state.platform_revision, reply.revision);
+    ask(state, now, actions);
+}
+
+time_point document_due(const document_state& state)
+{
+    return state.call_id != 0 ? state.call_expires_at : state.next_call_at;
+}
+
+time_point configuration_confirmed_at(
+    const chain_state& chain, const membership_state& members)
+{
+    const bool is_newest = chain.current->revision >= members.highest_revision;
+    return is_newest
+               ? std::max(chain.platform_read_at, members.platform_read_at)
+               : chain.platform_read_at;
+}
+
+} // namespace cyclamenhold
--- a/src/core/configuration/model.hpp
+++ b/src/core/configuration/model.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
     double rate = 0.0;
     // Requests that may be admitted at once, over the whole fleet.
     double burst = 0.0;
+    // Has no rate; the two above mean nothing.
+    bool unlimited = false;
+    // Goes before the priority of the routes, when given.
+    std::optional<priority_class> priority;
     bool operator==(const workspace&) const = default;
 };
 
@@ -28,7 +33,8 @@
 
 struct workspace_key
 {
-    // The public half: "cyk_<id>_<secret>".
+    // The public half: "cyk_<id>_<secret>". Empty for a key that is one
+    // opaque text; its digest covers all of it.
     std::string id;
     std::string workspace;
     key_digest digest{};
@@ -36,14 +42,27 @@
     bool operator==(const workspace_key&) const = default;
 };
 
+// One of the services among which a route's requests are divided.
+struct weighted_service
+{
+    std::string service;
+    double weight = 1.0;
+    bool operator==(const weighted_service&) const = default;
+};
+
 struct route
 {
     std::string name;
+    // The Host that the request names, without a port; empty for any.
+    std::string host;
     // Empty for any method.
     std::string method;
     // The longest matching prefix wins.
     std::string path_prefix;
     std::string service;
+    // Instead of `service`: each request goes to one of these, drawn by
+    // weight.
+    std::vector<weighted_service> split;
     priority_class priority = priority_class::normal;
     // Runs without a key.
     bool open = false;
@@ -63,14 +82,37 @@
     bool operator==(const data_centre&) const = default;
 };
 
+// What operators know of a service beyond its announcements.
+struct service_settings
+{
+    std::string name;
+    // Connections that each upstream accepts; zero when not given.
+    std::uint32_t connections = 0;
+    // The path of the upstreams' health check; empty without one.
+    std::string health_path;
+    bool operator==(const service_settings&) const = default;
+};
+
+// Bounds on what callers may send; zero keeps the node's own setting.
+struct caller_limits
+{
+    std::uint32_t max_header_bytes = 0;
+    std::uint64_t max_body_bytes = 0;
+    std::chrono::milliseconds header_timeout{};
+    std::chrono::milliseconds idle_timeout{};
+    bool operator==(const caller_limits&) const = default;
+};
+
 struct configuration
 {
-    // Grows by one with each accepted change; 0 is the empty configuration.
+    // Grows with each accepted change; 0 is the empty configuration.
     std::uint64_t revision = 0;
     std::vector<workspace> workspaces;
     std::vector<workspace_key> keys;
     std::vector<route> routes;
     std::vector<data_centre> data_centres;
+    std::vector<service_settings> services;
+    caller_limits limits;
     bool operator==(const configuration&) const = default;
 };
 
--- a/src/core/membership/sending.cpp
+++ b/src/core/membership/sending.cpp
@@ -134,7 +134,9 @@
     {
         add_contact(id, link.heard_at);
     }
-    if (state.platform_read_at != time_point{})
+    // Only together with the revision that was read.
+    if (state.platform_read_at != time_point{} &&
+        state.own_revision >= state.highest_revision)
     {
         // Stands for the platform.
         add_contact(data_centre_id::none, state.platform_read_at);
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -27,7 +27,16 @@
     membership_start(
         state.membership, settings.membership, wall_clock_ms, now, random,
         actions);
-    chain_start(state.chain, settings.chain, now, random, actions);
+    state.document.settings = settings.document;
+    if (reads_documents(state.document))
+    {
+        state.chain.settings = settings.chain;
+        document_start(state.document, state.chain, now);
+    }
+    else
+    {
+        chain_start(state.chain, settings.chain, now, random, actions);
+    }
     rates_start(state.rates, settings.rates, now, random, actions);
     claims_start(state.claims, settings.claims, now, random, actions);
     quarantine_settings quarantine;
@@ -42,7 +51,16 @@
     state.wall_clock_ms = wall_clock_ms;
     share_with_members(state.chain, state.membership);
     membership_tick(state.membership, now, random, actions);
-    chain_tick(state.chain, state.membership, now, random, actions);
+    if (reads_documents(state.document))
+    {
+        document_tick(
+            state.document, state.chain, state.membership, now, random,
+            actions);
+    }
+    else
+    {
+        chain_tick(state.chain, state.membership, now, random, actions);
+    }
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
     claims_tick(state.claims, inputs_of_claims(state), now, random, actions);
     quarantine_tick(state.quarantine, now);
@@ -58,6 +76,12 @@
         membership_on_message(state.membership, message, now, random, actions);
         return;
     case message_kind::configuration:
+        if (reads_documents(state.document))
+        {
+            document_on_message(
+                state.document, state.chain, message, now, actions);
+            return;
+        }
         chain_on_message(
             state.chain, state.membership, message, now, random, actions);
         return;
@@ -89,6 +113,12 @@
         return;
     case platform_client::configuration:
     case platform_client::intent:
+        if (reads_documents(state.document))
+        {
+            document_on_platform_reply(
+                state.document, state.chain, reply, now, random, actions);
+            return;
+        }
         chain_on_platform_reply(
             state.chain, state.membership, reply, now, random, actions);
         return;
@@ -101,8 +131,11 @@
 
 time_point control_due(const control_state& state)
 {
+    const time_point configuration_due = reads_documents(state.document)
+                                             ? document_due(state.document)
+                                             : chain_due(state.chain);
     return std::min(
-        {membership_due(state.membership), chain_due(state.chain),
+        {membership_due(state.membership), configuration_due,
          rates_due(state.rates), claims_due(state.claims),
          quarantine_due(state.quarantine)});
 }
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -4,6 +4,7 @@
 
 #include "core/claims/claims.hpp"
 #include "core/configuration/chain.hpp"
+#include "core/configuration/document_source.hpp"
 #include "core/membership/membership.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/rates/rates.hpp"
@@ -17,6 +18,8 @@
 {
     membership_settings membership;
     chain_settings chain;
+    // Takes the chain's place where operators write whole documents.
+    document_settings document;
     rates_settings rates;
     claims_settings claims;
 };
@@ -26,7 +29,9 @@
 struct control_state
 {
     membership_state membership;
+    // Also holds the configuration in force, wherever it came from.
     chain_state chain;
+    document_state document;
     rates_state rates;
     claims_state claims;
     quarantine_state quarantine;
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -141,6 +141,22 @@
     return step;
 }
 
+// What the configuration says of the request's workspace.
+void apply_workspace(const request_tables& tables, call_state& call)
+{
+    const auto found = tables.workspaces.find(call.context.workspace);
+    if (found == tables.workspaces.end())
+    {
+        return;
+    }
+    call.workspace = found->second.name;
+    call.unlimited = found->second.unlimited;
+    if (found->second.priority && call.context.depth == 0)
+    {
+        call.context.priority = *found->second.priority;
+    }
+}
+
 // Upstreams are judged by what requests saw: a reply that reports a fault of
 // the upstream counts as a failure, one that reports load does not.
 attempt_status judged_status(const attempt_result& result)
@@ -199,6 +215,13 @@
     return take_retry(path.retries, call.context.workspace);
 }
 
+// A node that has been cut off may not know of withdrawn keys.
+bool are_keys_valid(const request_path& path, time_point now)
+{
+    return now.time_since_epoch().count() <
+           path.keys_valid_until.load(std::memory_order_relaxed);
+}
+
 } // namespace
 
 call_step begin_call(
@@ -211,11 +234,15 @@
         return refuse(refusal::not_configured, outcome::not_run, 1s);
     }
     const route_entry* const route =
-        find_route(*tables, request.method, request.target);
+        find_route(*tables, request.host, request.method, request.target);
     if (route == nullptr)
     {
         return refuse(refusal::no_route, outcome::not_run);
     }
+    if (request.key && !route->settings.open && !are_keys_valid(path, now))
+    {
+        return refuse(refusal::not_configured, outcome::not_run, 1s);
+    }
     workspace_id workspace = workspace_id::none;
     if (request.parent)
     {
@@ -231,6 +258,7 @@
         return refuse(refusal::unauthenticated, outcome::not_run);
     }
     fill_context(path, call, request, *route, workspace, now, random);
+    apply_workspace(*tables, call);
     call.route = route->settings.name;
     call.needs_claim =
         call.context.never_repeat && !request.idempotency_key.empty();
@@ -251,7 +279,7 @@
     {
         return *refused;
     }
-    if (workspace == workspace_id::none)
+    if (workspace == workspace_id::none || call.unlimited)
     {
         return after_token(path, call, now, random);
     }
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -19,6 +19,7 @@
 #include "ports/events.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,15 +42,24 @@
     fair_slots slots;
     route_levels levels;
     std::atomic<bool> draining{false};
+    // Until when keys may be trusted without a newer proof that the
+    // configuration here is the newest; nanoseconds of the clock, the largest
+    // value where no proof is asked for.
+    std::atomic<std::int64_t> keys_valid_until{
+        std::numeric_limits<std::int64_t>::max()};
 };
 
 // What the caller's HTTP request says, the key removed from its headers.
 struct call_request
 {
     std::string method;
+    // The Host field.
+    std::string host;
     // Path and query.
     std::string target;
     std::optional<std::string> key;
+    // The caller's own name of the request; empty without one.
+    std::string request_id;
     std::optional<std::chrono::milliseconds> timeout;
     std::string idempotency_key;
     std::optional<std::uint64_t> body_size;
@@ -105,6 +115,10 @@
     std::uint16_t passed_allowance = 0;
     std::shared_ptr<call_record> parent_record;
     std::string route;
+    // The workspace's name; empty for a request without a key.
+    std::string workspace;
+    // The workspace has no rate.
+    bool unlimited = false;
     bool answered = false;
     std::vector<host_id> tried;
     // The attempt under way.
--- a/src/core/request/call_context.cpp
+++ b/src/core/request/call_context.cpp
@@ -27,7 +27,7 @@
     request_context& context = call.context;
     const auto& settings = route.settings;
     context.workspace = workspace;
-    context.service = route.service;
+    context.service = draw_service(route, random);
     context.never_repeat = settings.never_repeat;
     context.idempotency_key = request.idempotency_key;
     context.digest = digest_of(request, workspace);
--- a/src/core/request/request_tables.cpp
+++ b/src/core/request/request_tables.cpp
@@ -16,7 +16,7 @@
 bool matches(
     const route_entry& entry, std::string_view method, std::string_view path)
 {
-    const auto& [settings, service] = entry;
+    const route& settings = entry.settings;
     if (!settings.method.empty() && settings.method != method)
     {
         return false;
@@ -34,18 +34,22 @@
     return next == '/' || next == '?';
 }
 
-} // namespace
-
-request_tables build_request_tables(const configuration& current)
+route_entry entry_of(const route& settings)
 {
-    request_tables tables;
-    tables.revision = current.revision;
-    for (const auto& route : current.routes)
+    route_entry entry{settings, service_id_of(settings.service), {}};
+    double sum = 0.0;
+    for (const auto& part : settings.split)
     {
-        tables.routes.push_back({route, service_id_of(route.service)});
+        sum += part.weight;
+        entry.split.emplace_back(sum, service_id_of(part.service));
     }
+    return entry;
+}
+
+void sort_by_prefix(std::vector<route_entry>& routes)
+{
     std::ranges::stable_sort(
-        tables.routes,
+        routes,
         [](const route_entry& left, const route_entry& right)
         {
             const auto size_of = [](const route_entry& entry)
@@ -56,12 +60,72 @@
             };
             return size_of(left) > size_of(right);
         });
+}
+
+std::string text_of(const key_digest& digest)
+{
+    return {reinterpret_cast<const char*>(digest.data()), digest.size()};
+}
+
+const route_entry* find_in(
+    const request_tables& tables, const std::string& host,
+    std::string_view method, std::string_view path)
+{
+    const auto routes = tables.routes.find(host);
+    if (routes == tables.routes.end())
+    {
+        return nullptr;
+    }
+    for (const auto& entry : routes->second)
+    {
+        if (matches(entry, method, path))
+        {
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+// An opaque key is found by its keyed digest, so that the time of the search
+// tells nothing about keys.
+workspace_id authenticate_opaque(
+    const request_tables& tables, std::string_view fleet_secret,
+    std::string_view key)
+{
+    const auto found =
+        tables.opaque_keys.find(text_of(digest_of_secret(fleet_secret, key)));
+    if (found == tables.opaque_keys.end() || found->second.withdrawn)
+    {
+        return workspace_id::none;
+    }
+    return found->second.workspace;
+}
+
+} // namespace
+
+request_tables build_request_tables(const configuration& current)
+{
+    request_tables tables;
+    tables.revision = current.revision;
+    tables.limits = current.limits;
+    for (const auto& route : current.routes)
+    {
+        tables.routes[route.host].push_back(entry_of(route));
+    }
+    for (auto& [host, routes] : tables.routes)
+    {
+        sort_by_prefix(routes);
+    }
     for (const auto& key : current.keys)
     {
-        tables.keys.emplace(
-            key.id,
-            key_entry{
-                key.digest, workspace_id_of(key.workspace), key.withdrawn});
+        const key_entry entry{
+            key.digest, workspace_id_of(key.workspace), key.withdrawn};
+        if (key.id.empty())
+        {
+            tables.opaque_keys.emplace(text_of(key.digest), entry);
+            continue;
+        }
+        tables.keys.emplace(key.id, entry);
     }
     for (const auto& entry : current.workspaces)
     {
@@ -71,17 +135,32 @@
 }
 
 const route_entry* find_route(
-    const request_tables& tables, std::string_view method,
-    std::string_view path)
+    const request_tables& tables, std::string_view host,
+    std::string_view method, std::string_view path)
 {
-    for (const auto& entry : tables.routes)
+    const std::string name(host.substr(0, host.find(':')));
+    if (const auto* const found = find_in(tables, name, method, path))
     {
-        if (matches(entry, method, path))
+        return found;
+    }
+    return name.empty() ? nullptr : find_in(tables, {}, method, path);
+}
+
+service_id draw_service(const route_entry& route, random_source& random)
+{
+    if (route.split.empty())
+    {
+        return route.service;
+    }
+    const double drawn = random_fraction(random) * route.split.back().first;
+    for (const auto& [up_to, service] : route.split)
+    {
+        if (drawn < up_to)
         {
-            return &entry;
+            return service;
         }
     }
-    return nullptr;
+    return route.split.back().second;
 }
 
 key_digest
@@ -101,6 +180,14 @@
     const request_tables& tables, std::string_view fleet_secret,
     std::string_view key)
 {
+    if (!tables.opaque_keys.empty())
+    {
+        const auto found = authenticate_opaque(tables, fleet_secret, key);
+        if (found != workspace_id::none)
+        {
+            return found;
+        }
+    }
     if (!key.starts_with(key_prefix))
     {
         return workspace_id::none;
--- a/src/core/request/request_tables.hpp
+++ b/src/core/request/request_tables.hpp
@@ -2,6 +2,7 @@
 // published by the control thread with each revision.
 #pragma once
 
+#include "core/base/random.hpp"
 #include "core/configuration/model.hpp"
 
 #include <cstdint>
@@ -18,6 +19,8 @@
 {
     route settings;
     service_id service = service_id::none;
+    // The services of a split, with their weights added up.
+    std::vector<std::pair<double, service_id>> split;
 };
 
 struct key_entry
@@ -30,25 +33,34 @@
 struct request_tables
 {
     std::uint64_t revision = 0;
-    // Sorted by descending prefix length.
-    std::vector<route_entry> routes;
+    // By host, the empty one for routes of any host; each sorted by descending
+    // prefix length.
+    std::unordered_map<std::string, std::vector<route_entry>> routes;
     std::unordered_map<std::string, key_entry> keys;
+    // Opaque keys by the digest of their whole text.
+    std::unordered_map<std::string, key_entry> opaque_keys;
     std::unordered_map<workspace_id, workspace> workspaces;
+    caller_limits limits;
 };
 
 [[nodiscard]] request_tables build_request_tables(const configuration& current);
 
 // The route of a request, or nullptr. The path must start with the route's
 // prefix, up to the end, a '/' or a '?'.
+// `host` is the request's Host field; routes of that host go before others.
 [[nodiscard]] const route_entry* find_route(
-    const request_tables& tables, std::string_view method,
-    std::string_view path);
+    const request_tables& tables, std::string_view host,
+    std::string_view method, std::string_view path);
+
+// The service that a request of this route goes to.
+[[nodiscard]] service_id
+draw_service(const route_entry& route, random_source& random);
 
 // The digest under which a key's secret is kept.
 [[nodiscard]] key_digest
 digest_of_secret(std::string_view fleet_secret, std::string_view secret);
 
-// Checks "cyk_<id>_<secret>" in constant time. Returns the workspace, or
+// Checks an opaque key, or "cyk_<id>_<secret>" in constant time. Returns the workspace, or
 // workspace_id::none for a key that is unknown, wrong or withdrawn.
 [[nodiscard]] workspace_id authenticate(
     const request_tables& tables, std::string_view fleet_secret,
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -105,6 +105,8 @@
     host_id peer = host_id::none;
     // Short free text in English; never holds a key or a body.
     std::string detail;
+    // The caller's own id of the request; empty where it is not at hand.
+    std::string request_id = {};
 };
 
 } // namespace cyclamenhold
--- a/src/ports/platform.hpp
+++ b/src/ports/platform.hpp
@@ -6,6 +6,8 @@
 #include "core/base/names.hpp"
 #include "core/base/time.hpp"
 
+#include <absl/status/statusor.h>
+
 #include <array>
 #include <cstdint>
 #include <string>
@@ -18,7 +20,7 @@
 enum class platform_operation : std::uint8_t
 {
     get,
-    // All keys that start with `key`, in order, at most `limit`.
+    // All keys that start with `key`, in order, from the one behind `after`.
     list,
     // Writes `value` when the key's version equals `expected_version`;
     // version 0 means "absent". `lease` ties the key to a lease.
@@ -66,6 +68,8 @@
     platform_operation operation = platform_operation::get;
     std::string key;
     std::string value;
+    // Of a list: the last key of the page before.
+    std::string after;
     std::uint64_t expected_version = 0;
     std::uint64_t lease = 0;
     duration lease_time{};
@@ -82,6 +86,8 @@
     // The version differed; the reply holds the present entry.
     conflict,
     lease_expired,
+    // A watch asked for changes that the platform no longer remembers.
+    history_lost,
     // Down, slow or cut off. A write may or may not have taken effect.
     unavailable,
     rejected
@@ -90,12 +96,13 @@
 template <>
 struct enum_names<platform_status>
 {
-    static constexpr std::array<std::pair<platform_status, std::string_view>, 6>
+    static constexpr std::array<std::pair<platform_status, std::string_view>, 7>
         table{
             {{platform_status::ok, "ok"},
              {platform_status::not_found, "not-found"},
              {platform_status::conflict, "conflict"},
              {platform_status::lease_expired, "lease-expired"},
+             {platform_status::history_lost, "history-lost"},
              {platform_status::unavailable, "unavailable"},
              {platform_status::rejected, "rejected"}}};
 };
@@ -106,6 +113,8 @@
     std::string value;
     // The platform's revision that wrote it; grows with every write anywhere.
     std::uint64_t version = 0;
+    // Of a watch: the key was deleted; there is no value.
+    bool removed = false;
 };
 
 struct platform_reply
@@ -118,6 +127,35 @@
     // The platform's revision when it answered.
     std::uint64_t revision = 0;
     std::uint64_t lease = 0;
+    // Of a list: there are more keys behind the last one.
+    bool has_more = false;
+};
+
+// One call as it goes over HTTP.
+struct platform_request
+{
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+struct platform_response
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+// How the platform spells its calls. The client and the stand-in speak the
+// same protocol from its two ends.
+struct platform_codec
+{
+    platform_request (*encode_call)(const platform_call&) = nullptr;
+    absl::StatusOr<platform_reply> (*decode_reply)(
+        const platform_call&, const platform_response&) = nullptr;
+    absl::StatusOr<platform_call> (*decode_call)(const platform_request&) =
+        nullptr;
+    platform_response (*encode_reply)(
+        const platform_call&, const platform_reply&) = nullptr;
 };
 
 } // namespace cyclamenhold
--- a/tools/cyclamen-standin-platform/platform_server.cpp
+++ b/tools/cyclamen-standin-platform/platform_server.cpp
@@ -2,8 +2,8 @@
 
 #include "adapters/clock.hpp"
 #include "adapters/json_server.hpp"
-#include "adapters/platform_protocol.hpp"
 #include "core/base/findings.hpp"
+#include "platform/store_protocol.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -92,8 +92,10 @@
     json_reply reply;
     // A caller of a platform that is away gets no answer.
     reply.drop = waiting.reply->status == platform_status::unavailable;
-    reply.status = http_status_of(waiting.reply->status);
-    reply.body = encode_platform_reply(*waiting.reply);
+    const auto encoded =
+        platform::store_codec().encode_reply(call, *waiting.reply);
+    reply.status = encoded.status;
+    reply.body = encoded.body;
     co_return reply;
 }
 
@@ -225,11 +227,8 @@
         poll_store(server);
         co_return reply;
     }
-    if (request.method != "POST")
-    {
-        co_return json_error(405, "method not allowed");
-    }
-    const auto call = decode_platform_call(request.target, request.body);
+    const auto call = platform::store_codec().decode_call(
+        {request.method, request.target, request.body});
     if (!call.ok())
     {
         const unsigned status =
