Share rates by demand where the store's deployments allow an overage

Change: core/rates/demand_shares: hosts report their demand to each other twice a second and take that part of each rate; a side that is cut off keeps the part that its hosts are of all. The pledges stay for deployments with intents.

--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -222,10 +222,15 @@
         settings.document.key = dialect.document_key;
         settings.document.read = dialect.read_document;
         settings.document.fleet_secret = node.services.fleet_secret;
+        for (const auto& name : node.settings.data_centres)
+        {
+            settings.document.data_centres.push_back({name, {}, 1.0});
+        }
     }
     settings.rates.self = node.services.self;
     settings.rates.data_centre = data_centre;
     settings.rates.term = node.settings.rates.term;
+    settings.rates.sharing = node.settings.rates.sharing;
     settings.claims.self = node.services.self;
     settings.claims.data_centre = data_centre;
     settings.claims.retention = node.settings.claims.retention;
@@ -532,6 +537,7 @@
     node->services.limits = limits_of(settings.limits);
     node->services.dialect = dialect;
     node->services.local_service = settings.service;
+    node->services.path.limiter.longest_wait = settings.rates.longest_wait;
     for (unsigned i = 0; i < settings.request_threads; ++i)
     {
         node->threads.push_back(std::make_unique<request_thread>(
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -231,6 +231,24 @@
         }
     }
 
+    void operator()(member_of<std::vector<std::string>> member) const
+    {
+        const json::array* const list = value.if_array();
+        if (list == nullptr)
+        {
+            add_finding(found(), place(), "must be an array");
+            return;
+        }
+        for (std::size_t index = 0; index < list->size(); ++index)
+        {
+            const std::string item = place() + '/' + std::to_string(index);
+            if (const auto text = read_text(item, (*list)[index], found()))
+            {
+                member(reader.result.settings).emplace_back(*text);
+            }
+        }
+    }
+
     template <class Enum>
     requires std::is_enum_v<Enum>
     void operator()(member_of<Enum> member) const
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -4,6 +4,7 @@
 #include "adapters/log_level.hpp"
 #include "core/base/findings.hpp"
 #include "core/base/ip_endpoint.hpp"
+#include "core/rates/rates.hpp"
 
 #include <array>
 #include <chrono>
@@ -67,6 +68,9 @@
 
 struct rate_settings
 {
+    rate_sharing sharing = rate_sharing::by_pledge;
+    // The longest that a request waits for a token.
+    std::chrono::milliseconds longest_wait{500};
     // How long a pledge or a loan lasts.
     std::chrono::milliseconds term{5'000};
 };
@@ -93,6 +97,9 @@
     std::string name;
     std::string data_centre;
     std::string region;
+    // All data centres, each with the same share of the rates, where the
+    // configuration names none.
+    std::vector<std::string> data_centres;
     interface_kind interface = interface_kind::cyclamen;
     // The service of the upstream on this host, told to other upstreams with
     // the requests that enter here.
--- a/src/adapters/settings_reference.cpp
+++ b/src/adapters/settings_reference.cpp
@@ -63,6 +63,10 @@
     {
         return "array of `IPv4:port`";
     }
+    std::string operator()(member_of<std::vector<std::string>> /*member*/) const
+    {
+        return "array of texts";
+    }
     template <class Enum>
     requires std::is_enum_v<Enum> std::string
     operator()(member_of<Enum> /*member*/) const
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -29,6 +29,10 @@
     setting_entry{
         "/region", CYCLAMEN_MEMBER(region), required, 0, 0, "",
         "The region that the data centre belongs to."},
+    setting_entry{
+        "/data_centres", CYCLAMEN_MEMBER(data_centres), optional, 0, 0, "",
+        "All data centres, each with the same share of the rates, where the "
+        "configuration names none."},
     setting_entry{
         "/interface", CYCLAMEN_MEMBER(interface), optional, 0, 0, "",
         "Whose interface the node speaks to callers, the upstream, operators "
@@ -120,6 +124,13 @@
         "/membership/indirect_probes",
         CYCLAMEN_MEMBER(membership.indirect_probes), optional, 0, 16, "members",
         "Members asked to probe a silent one."},
+    setting_entry{
+        "/rates/sharing", CYCLAMEN_MEMBER(rates.sharing), optional, 0, 0, "",
+        "How hosts divide a workspace's rate: exactly in every fault, or by "
+        "demand at once and nearly."},
+    setting_entry{
+        "/rates/longest_wait_ms", CYCLAMEN_MEMBER(rates.longest_wait), optional,
+        0, 60'000, "ms", "The longest that a request waits for a token."},
     setting_entry{
         "/rates/term_ms", CYCLAMEN_MEMBER(rates.term), optional, 100, 600'000,
         "ms", "How long a pledge or a loan of rate lasts."},
--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -89,6 +89,10 @@
         "version " + std::to_string(next.revision) + " after " +
             std::to_string(chain.current->revision) + " from " + from);
     state.text = text;
+    if (next.data_centres.empty())
+    {
+        next.data_centres = state.settings.data_centres;
+    }
     chain.current = std::make_shared<const configuration>(std::move(next));
     chain.applied_at = now;
 }
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -23,6 +23,8 @@
     absl::StatusOr<configuration> (*read)(
         std::string_view text, std::string_view fleet_secret) = nullptr;
     std::string fleet_secret;
+    // Taken where the document names no data centres.
+    std::vector<data_centre> data_centres;
     // How long one watch waits. Each that ends proves that the configuration
     // here is the newest.
     duration watch_time = 2s;
--- /dev/null
+++ b/src/core/rates/demand_shares.hpp
@@ -0,0 +1,62 @@
+// Demand-proportional shares: each host tells all others what callers ask of
+// it, and takes the part of every rate that its demand has of all demand. A
+// side that is cut off from others keeps only the part of the rate that its
+// hosts are of all hosts, so that the sides together stay inside the rate.
+#pragma once
+
+#include "core/base/ids.hpp"
+#include "core/base/time.hpp"
+
+#include <map>
+
+namespace cyclamenhold
+{
+
+struct rates_step;
+struct rates_state;
+
+// Requests a second, by workspace.
+using demand_by_workspace = std::map<workspace_id, double>;
+
+struct peer_demand
+{
+    time_point heard_at{};
+    demand_by_workspace per_second;
+};
+
+struct demand_share_state
+{
+    demand_by_workspace own;
+    std::map<host_id, peer_demand> peers;
+    time_point started_at{};
+    time_point sampled_at{};
+    time_point next_report_at{};
+};
+
+// Reports between two hosts come this often.
+constexpr duration demand_report_interval = 500ms;
+// A host not heard from for so long may serve callers on another side of a
+// cut: six reports in a row were lost.
+constexpr duration demand_report_timeout = 3s;
+// A host that is held to be dead for so long serves nobody.
+constexpr duration dead_host_time = 20s;
+// What a host that knows of no other may use of each rate until it has had
+// time to hear of them.
+constexpr double newcomer_share = 0.125;
+constexpr duration newcomer_time = 2s;
+
+// The part of a rate that a host may use.
+struct share_inputs
+{
+    double own_demand = 0.0;
+    // Of the other hosts that were heard lately.
+    double other_demand = 0.0;
+    std::size_t hosts_heard = 1;
+    std::size_t hosts_known = 1;
+};
+[[nodiscard]] double demand_share(const share_inputs& inputs);
+
+void keep_demand_shares(rates_step& step);
+[[nodiscard]] time_point demand_due(const rates_state& state);
+
+} // namespace cyclamenhold
--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -83,7 +83,7 @@
         {
             return {token_verdict::admitted, {}};
         }
-        wait_until = std::min(wait_until, now + max_token_wait);
+        wait_until = std::min(wait_until, now + limiter.longest_wait);
         if (wait_until <= now || bucket.waiters.size() >= max_waiters)
         {
             return {token_verdict::refused, expected_wait(bucket)};
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -75,9 +75,14 @@
     double admitted = 0.0;
 };
 
+// The longest that a request waits for a token, so that time is left to run.
+constexpr duration max_token_wait = 500ms;
+
 struct rate_limiter
 {
     std::mutex mutex;
+    // Requests wait no longer than this.
+    duration longest_wait = max_token_wait;
     std::unordered_map<workspace_id, token_bucket> buckets;
     // Waiters of workspaces that have been deleted.
     std::vector<token_waiter> orphans;
@@ -86,8 +91,6 @@
     std::function<void()> on_waiting;
 };
 
-// The longest that a request waits for a token, so that time is left to run.
-constexpr duration max_token_wait = 500ms;
 constexpr std::size_t max_waiters = 512;
 
 // Takes one token of the workspace, or waits for one until `wait_until` and
--- a/src/core/rates/rates.cpp
+++ b/src/core/rates/rates.cpp
@@ -1,5 +1,6 @@
 #include "core/rates/rates.hpp"
 
+#include "core/rates/demand_shares.hpp"
 #include "core/rates/step.hpp"
 
 #include <algorithm>
@@ -36,6 +37,8 @@
         return on_removal_query(step, from, *body.Asremoval_query());
     case wire_rates::body::removal_answer:
         return on_removal_answer(step, from, *body.Asremoval_answer());
+    case wire_rates::body::demand_report:
+        return on_demand_report(step, from, *body.Asdemand_report());
     case wire_rates::body::NONE:
         return;
     }
@@ -152,6 +155,11 @@
     rates_step step{state, inputs, now, random, actions};
     state.last_tick_at = now;
     follow_configuration(step);
+    if (state.settings.sharing == rate_sharing::by_demand)
+    {
+        keep_demand_shares(step);
+        return;
+    }
     keep_roster(step);
     keep_pledges(step);
     deliver_local(step);
@@ -181,6 +189,10 @@
 
 time_point rates_due(const rates_state& state)
 {
+    if (state.settings.sharing == rate_sharing::by_demand)
+    {
+        return demand_due(state);
+    }
     return state.last_tick_at +
            (state.loans.busy ? busy_interval : idle_interval);
 }
@@ -191,6 +203,10 @@
 {
     rates_step step{state, inputs, now, random, actions};
     state.leaving = true;
+    if (state.settings.sharing == rate_sharing::by_demand)
+    {
+        return;
+    }
     keep_loans(step);
     deliver_local(step);
     release_pledges(step);
--- a/src/core/rates/rates.hpp
+++ b/src/core/rates/rates.hpp
@@ -6,6 +6,7 @@
 #include "core/base/random.hpp"
 #include "core/configuration/model.hpp"
 #include "core/membership/membership.hpp"
+#include "core/rates/demand_shares.hpp"
 #include "core/rates/loans.hpp"
 #include "core/rates/pledges.hpp"
 #include "core/rates/rate_limiter.hpp"
@@ -19,8 +20,28 @@
 namespace cyclamenhold
 {
 
+// How the hosts divide a rate.
+enum class rate_sharing : std::uint8_t
+{
+    // Exactly in every fault: each weight is used in one place. Takes terms to
+    // start and a roster in the platform.
+    by_pledge,
+    // By what callers ask of each host; a rate may be exceeded for moments.
+    by_demand
+};
+
+template <>
+struct enum_names<rate_sharing>
+{
+    static constexpr std::array<std::pair<rate_sharing, std::string_view>, 2>
+        table{
+            {{rate_sharing::by_pledge, "by-pledge"},
+             {rate_sharing::by_demand, "by-demand"}}};
+};
+
 struct rates_settings
 {
+    rate_sharing sharing = rate_sharing::by_pledge;
     host_id self = host_id::none;
     data_centre_id data_centre = data_centre_id::none;
     // How long a pledge lasts.
@@ -47,6 +68,7 @@
     roster_state hosts;
     pledge_state pledges;
     loan_state loans;
+    demand_share_state demand;
     // The revision whose workspaces the limiter and the shares are set to.
     std::uint64_t revision = 0;
     double share = 0.0;
--- a/src/core/rates/step.hpp
+++ b/src/core/rates/step.hpp
@@ -69,5 +69,7 @@
     rates_step& step, host_id from, const wire::rates::loan_request_data& in);
 void on_loan_reply(
     rates_step& step, host_id from, const wire::rates::loan_reply_data& in);
+void on_demand_report(
+    rates_step& step, host_id from, const wire::rates::demand_report_data& in);
 
 } // namespace cyclamenhold
