Reload settings on SIGHUP instead of dying of it

Ruled out: crashes (all exits bear code 129).

Change: SIGHUP reads the settings again; findings leave the old ones in force. A planned stop keeps accepting callers until the end.

--- a/src/adapters/decision_log.cpp
+++ b/src/adapters/decision_log.cpp
@@ -67,7 +67,8 @@
 
 } // namespace
 
-void log_decision(decision_log& decisions, const json_log& log, const event& seen)
+void log_decision(
+    decision_log& decisions, const json_log& log, const event& seen)
 {
     if (!is_logged(seen.kind))
     {
--- a/src/adapters/decision_log.hpp
+++ b/src/adapters/decision_log.hpp
@@ -26,6 +26,7 @@
 };
 
 // Writes the line of an event, unless it is of a kind that is not logged.
-void log_decision(decision_log& decisions, const json_log& log, const event& seen);
+void log_decision(
+    decision_log& decisions, const json_log& log, const event& seen);
 
 } // namespace cyclamenhold
--- a/src/adapters/http_fields.cpp
+++ b/src/adapters/http_fields.cpp
@@ -117,8 +117,7 @@
     return name.empty() ? std::string_view() : view_of(fields[name]);
 }
 
-std::string_view
-field_value(const header_fields& fields, std::string_view name)
+std::string_view field_value(const header_fields& fields, std::string_view name)
 {
     for (const auto& field : fields)
     {
--- a/src/adapters/http_fields.hpp
+++ b/src/adapters/http_fields.hpp
@@ -22,8 +22,8 @@
     std::string_view key);
 
 // The value of the field with this name; empty without one or without a name.
-[[nodiscard]] std::string_view field_value(
-    const boost::beast::http::fields& fields, const std::string& name);
+[[nodiscard]] std::string_view
+field_value(const boost::beast::http::fields& fields, const std::string& name);
 
 // The value of a kept field with this name, in any case.
 [[nodiscard]] std::string_view
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -16,7 +16,7 @@
 // How long peers and callers are given to learn of a planned stop before new
 // work is refused.
 constexpr auto leave_notice = std::chrono::milliseconds(1'500);
-constexpr auto stop_poll_interval = std::chrono::milliseconds(20);
+constexpr auto stop_poll_interval = std::chrono::milliseconds(50);
 constexpr auto gate_tick_interval = std::chrono::milliseconds(10);
 
 struct node_runtime
@@ -577,6 +577,39 @@
     return node.ports;
 }
 
+void reload_node(node_runtime& node, const settings_result& read)
+{
+    const auto& [next, found] = read;
+    if (!found.empty())
+    {
+        write_log(
+            node.log, log_level::error, "settings-rejected",
+            {{"detail", to_string(found)}});
+        return;
+    }
+    node.settings.stop_timeout = next.stop_timeout;
+    node.settings.log = next.log;
+    {
+        const std::scoped_lock lock(node.decisions.mutex);
+        node.decisions.most_per_second = next.log.decisions_per_second;
+    }
+    asio::post(
+        node.control.io,
+        [&node, trust = next.key_trust]
+        {
+            node.control.key_trust = trust;
+        });
+    const bool needs_restart = next.name != node.settings.name ||
+                               next.listen != node.settings.listen ||
+                               next.platform != node.settings.platform ||
+                               next.data_centre != node.settings.data_centre;
+    write_log(
+        node.log, log_level::info, "settings-reloaded",
+        {{"detail", needs_restart
+                        ? "name, addresses and data centre need a restart"
+                        : "in force"}});
+}
+
 bool stop_requested(const node_runtime& node)
 {
     return node.stop_asked;
@@ -603,13 +636,8 @@
                 }
             });
     }
-    asio::post(
-        node.threads.front()->io,
-        [&node]
-        {
-            boost::system::error_code ignored;
-            node.callers_acceptor->close(ignored);
-        });
+    // Callers may come until the end: a port that is closed tells them less
+    // than an answer.
     const std::size_t left = wait_for_work(node, hurry, until);
     record_lifecycle(
         node, event_kind::node_stopped, std::to_string(left) + " cut");
--- a/src/adapters/node_runtime.hpp
+++ b/src/adapters/node_runtime.hpp
@@ -54,6 +54,11 @@
 
 [[nodiscard]] bound_ports ports_of(const node_runtime& node);
 
+// Takes a changed settings file. What can change while the node runs does so
+// at once; what can't is named in the log. A file with findings changes
+// nothing.
+void reload_node(node_runtime& node, const settings_result& read);
+
 // True once an operator has asked for the node's planned stop.
 [[nodiscard]] bool stop_requested(const node_runtime& node);
 
--- a/src/adapters/operators_port.cpp
+++ b/src/adapters/operators_port.cpp
@@ -45,7 +45,8 @@
 asio::awaitable<operator_reply>
 answer(operators_api& api, const string_request& request)
 {
-    const std::string_view path(request.target().data(), request.target().size());
+    const std::string_view path(
+        request.target().data(), request.target().size());
     const bool is_get = request.method() == http::verb::get;
     if (is_get && path == "/ready")
     {
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -45,7 +45,8 @@
     // The operators' API, metrics and events.
     ip_endpoint operators;
     // Answers 200 while the node is ready for callers.
-    std::optional<ip_endpoint> ready;
+    std::optional<ip_endpoint> ready = std::nullopt;
+    bool operator==(const listen_settings&) const = default;
 };
 
 struct limit_settings
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -149,9 +149,8 @@
         "Where lines go; `-` is the standard error stream, `stdout` the "
         "standard output."},
     setting_entry{
-        "/log/decisions_per_second",
-        CYCLAMEN_MEMBER(log.decisions_per_second), optional, 0, 100'000,
-        "lines/s",
+        "/log/decisions_per_second", CYCLAMEN_MEMBER(log.decisions_per_second),
+        optional, 0, 100'000, "lines/s",
         "Most lines about single requests and beliefs; those beyond are "
         "counted."},
     setting_entry{
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -259,8 +259,8 @@
 }
 
 // Reads the head of the request's own reply into `parser`.
-asio::awaitable<beast::error_code> read_own_head(
-    upstream_call& call, std::unique_ptr<response_parser>& parser)
+asio::awaitable<beast::error_code>
+read_own_head(upstream_call& call, std::unique_ptr<response_parser>& parser)
 {
     constexpr int most_skipped = 3;
     for (int skipped = 0; skipped <= most_skipped; ++skipped)
--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -50,8 +50,7 @@
     upstream_monitor& monitor, const upstream_announcement& announcement,
     time_point now)
 {
-    const bool draining =
-        announcement.record.state == upstream_state::draining;
+    const bool draining = announcement.record.state == upstream_state::draining;
     monitor.record = announcement.record;
     monitor.endpoint = endpoint_of(announcement.endpoint);
     monitor.id = announcement.id;
--- a/src/apps/cyclamen-node/main.cpp
+++ b/src/apps/cyclamen-node/main.cpp
@@ -23,19 +23,24 @@
 constexpr int exit_cut = 3;
 
 std::atomic<int> signals_seen{0};
+std::atomic<bool> reload_asked{false};
 
 void on_signal(int /*number*/)
 {
     ++signals_seen;
 }
 
+void on_reload_signal(int /*number*/)
+{
+    reload_asked = true;
+}
+
 cxxopts::Options make_options()
 {
     cxxopts::Options options("cyclamen-node", "The node of an upstream host.");
     options.add_options()("help", "show this text")(
         "version", "show the version")(
-        "settings", "the settings file",
-        cxxopts::value<std::string>())(
+        "settings", "the settings file", cxxopts::value<std::string>())(
         "settings-variable", "the environment variable that names it",
         cxxopts::value<std::string>())("check", "check the settings and exit");
     return options;
@@ -51,12 +56,19 @@
     std::cout << boost::json::serialize(line) << std::endl;
 }
 
+// Between two looks at what signals and operators ask for.
+constexpr auto request_poll_interval = std::chrono::milliseconds(100);
+
 // Waits for a signal or an operator's request, then stops.
-int run_until_stopped(node_runtime& node)
+int run_until_stopped(node_runtime& node, const std::string& path)
 {
     while (signals_seen == 0 && !stop_requested(node))
     {
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        std::this_thread::sleep_for(request_poll_interval);
+        if (reload_asked.exchange(false))
+        {
+            reload_node(node, load_settings(path));
+        }
     }
     const int before = signals_seen;
     std::atomic<bool> hurry{false};
@@ -97,21 +109,9 @@
     return path == nullptr ? "" : path;
 }
 
-node_dialect dialect_of(interface_kind interface)
-{
-    node_dialect dialect = platform::platform_dialect();
-    if (interface == interface_kind::cyclamen)
-    {
-        // The store is the platform's on both.
-        dialect = {{}, nullptr, nullptr, {}, dialect.store};
-    }
-    return dialect;
-}
-
 int run(const cxxopts::ParseResult& arguments)
 {
-    auto [settings, found] =
-        load_settings(settings_path(arguments));
+    auto [settings, found] = load_settings(settings_path(arguments));
     node_secrets secrets;
     if (found.empty())
     {
@@ -148,7 +148,7 @@
         return exit_failed;
     }
     print_ports(ports_of(**node));
-    return run_until_stopped(**node);
+    return run_until_stopped(**node, settings_path(arguments));
 }
 
 } // namespace
@@ -157,6 +157,7 @@
 {
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
+    std::signal(SIGHUP, on_reload_signal);
     std::signal(SIGPIPE, SIG_IGN);
     auto options = make_options();
     try
--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -72,8 +72,8 @@
         add_call(state, platform_operation::get, read_timeout, now, actions);
         return;
     }
-    auto& call = add_call(
-        state, platform_operation::watch, watch_grace, now, actions);
+    auto& call =
+        add_call(state, platform_operation::watch, watch_grace, now, actions);
     call.expected_version = state.platform_revision;
     call.wait = state.settings.watch_time;
     state.call_expires_at += call.wait;
@@ -172,8 +172,7 @@
     return chain.current->revision != 0;
 }
 
-void send(
-    host_id to, const chain_message& message, control_actions& actions)
+void send(host_id to, const chain_message& message, control_actions& actions)
 {
     actions.messages.push_back(
         {to, message_kind::configuration, transport::stream, encode(message)});
@@ -341,8 +340,7 @@
     state.next_call_at = now;
     chain.platform_read_at =
         std::max(chain.platform_read_at, proven_at(state, reply, now));
-    state.platform_revision =
-        std::max(state.platform_revision, reply.revision);
+    state.platform_revision = std::max(state.platform_revision, reply.revision);
     ask(state, now, actions);
 }
 
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -60,8 +60,7 @@
 [[nodiscard]] bool reads_documents(const document_state& state);
 
 // Each puts a newer configuration into `chain.current`.
-void document_start(
-    document_state& state, chain_state& chain, time_point now);
+void document_start(document_state& state, chain_state& chain, time_point now);
 void document_tick(
     document_state& state, chain_state& chain, const membership_state& members,
     time_point now, random_source& random, control_actions& actions);
--- a/src/core/configuration/model.hpp
+++ b/src/core/configuration/model.hpp
@@ -24,7 +24,7 @@
     // Has no rate; the two above mean nothing.
     bool unlimited = false;
     // Goes before the priority of the routes, when given.
-    std::optional<priority_class> priority;
+    std::optional<priority_class> priority = std::nullopt;
     bool operator==(const workspace&) const = default;
 };
 
--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -30,8 +30,8 @@
         const double arrivals =
             sample_demand(step.inputs.limiter, id, step.now).arrivals;
         double& known = demand.own[id];
-        known = kept * known +
-                (1.0 - kept) * arrivals / std::max(elapsed, 1e-3);
+        known =
+            kept * known + (1.0 - kept) * arrivals / std::max(elapsed, 1e-3);
     }
     std::erase_if(
         demand.own,
@@ -86,8 +86,7 @@
         if (per_second >= least_reported)
         {
             report.rows.emplace_back(
-                static_cast<std::uint64_t>(id),
-                static_cast<float>(per_second));
+                static_cast<std::uint64_t>(id), static_cast<float>(per_second));
         }
     }
     message.body.Set(std::move(report));
@@ -132,8 +131,7 @@
         const double assumed =
             assumed_demand * workspace.rate / static_cast<double>(known);
         const auto own = demand.own.find(id);
-        const double own_demand =
-            own == demand.own.end() ? 0.0 : own->second;
+        const double own_demand = own == demand.own.end() ? 0.0 : own->second;
         const double share =
             is_newcomer
                 ? newcomer_share
--- a/src/core/request/request_tables.hpp
+++ b/src/core/request/request_tables.hpp
@@ -60,8 +60,9 @@
 [[nodiscard]] key_digest
 digest_of_secret(std::string_view fleet_secret, std::string_view secret);
 
-// Checks an opaque key, or "cyk_<id>_<secret>" in constant time. Returns the workspace, or
-// workspace_id::none for a key that is unknown, wrong or withdrawn.
+// Checks an opaque key, or "cyk_<id>_<secret>" in constant time. Returns the
+// workspace, or workspace_id::none for a key that is unknown, wrong or
+// withdrawn.
 [[nodiscard]] workspace_id authenticate(
     const request_tables& tables, std::string_view fleet_secret,
     std::string_view key);
--- a/tests/adapters/platform_test.cpp
+++ b/tests/adapters/platform_test.cpp
@@ -2,7 +2,7 @@
 #include "adapters/http_client.hpp"
 #include "adapters/json_server.hpp"
 #include "adapters/platform_client.hpp"
-#include "adapters/platform_protocol.hpp"
+#include "platform/store_protocol.hpp"
 #include "platform_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,6 +30,7 @@
         server = make_platform_server(context.get_executor());
         settings.endpoint = *start_platform_server(server, any_port);
         settings.last_backoff = 100ms;
+        settings.codec = platform::store_codec();
         client = make_platform_connections(context.get_executor(), settings);
     }
 
@@ -102,41 +103,174 @@
     return call;
 }
 
-TEST(platform_protocol, carries_any_bytes)
+// A call as the other end of the connection reads it.
+absl::StatusOr<platform_call> sent_over(const platform_call& call)
 {
+    const auto codec = platform::store_codec();
+    return codec.decode_call(codec.encode_call(call));
+}
+
+TEST(store_protocol, carries_any_bytes)
+{
+    const auto codec = platform::store_codec();
     for (const std::string& value :
          {std::string(), std::string("plain"), std::string("\0\xff\"\n", 4),
           std::string(100, '\x80'), std::string("ab\x01", 3)})
     {
         SCOPED_TRACE(testing::PrintToString(value));
         auto call =
-            make_call(platform_operation::compare_and_swap, value, value);
+            make_call(platform_operation::compare_and_swap, "a key/%&=", value);
         call.expected_version = ~0ULL;
-        const auto decoded = decode_platform_call(
-            platform_target(call.operation), encode_platform_call(call));
+        call.lease = 12;
+        const auto decoded = sent_over(call);
         ASSERT_TRUE(decoded.ok()) << decoded.status();
-        EXPECT_EQ(decoded->key, value);
+        EXPECT_EQ(decoded->operation, call.operation);
+        EXPECT_EQ(decoded->key, call.key);
         EXPECT_EQ(decoded->value, value);
         EXPECT_EQ(decoded->expected_version, ~0ULL);
+        EXPECT_EQ(decoded->lease, 12U);
+        const auto read = make_call(platform_operation::get, "a key/%&=");
         platform_reply reply;
-        reply.entries.push_back({"key", value, 9});
-        const auto back = decode_platform_reply(encode_platform_reply(reply));
+        reply.entries.push_back({"a key/%&=", value, 9});
+        reply.revision = 11;
+        const auto back =
+            codec.decode_reply(read, codec.encode_reply(read, reply));
         ASSERT_TRUE(back.ok()) << back.status();
         ASSERT_EQ(back->entries.size(), 1U);
         EXPECT_EQ(back->entries[0].value, value);
         EXPECT_EQ(back->entries[0].version, 9U);
+        EXPECT_EQ(back->revision, 11U);
+    }
+}
+
+TEST(store_protocol, carries_each_call)
+{
+    {
+        SCOPED_TRACE("queries keep keys with any character");
+        auto list = make_call(platform_operation::list, "a&b=c d/\xc3\xa9");
+        list.after = "a&b=c d/%41";
+        const auto decoded = sent_over(list);
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(decoded->operation, platform_operation::list);
+        EXPECT_EQ(decoded->key, list.key);
+        EXPECT_EQ(decoded->after, list.after);
+    }
+    {
+        SCOPED_TRACE("a watch keeps its revision and its wait");
+        auto watch = make_call(platform_operation::watch, "key/");
+        watch.expected_version = 412;
+        watch.wait = 2s;
+        const auto decoded = sent_over(watch);
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(decoded->expected_version, 412U);
+        EXPECT_EQ(decoded->wait, duration(2s));
+    }
+    {
+        SCOPED_TRACE("leases are granted for fractions of seconds");
+        auto grant = make_call(platform_operation::lease_grant, "");
+        grant.lease_time = 1'500ms;
+        const auto decoded = sent_over(grant);
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(decoded->lease_time, duration(1'500ms));
+    }
+    for (const auto operation :
+         {platform_operation::lease_renew, platform_operation::lease_revoke})
+    {
+        SCOPED_TRACE(std::string(name_of(operation)));
+        auto call = make_call(operation, "");
+        call.lease = 77'120;
+        const auto decoded = sent_over(call);
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(decoded->operation, operation);
+        EXPECT_EQ(decoded->lease, 77'120U);
     }
+    {
+        SCOPED_TRACE("a deletion keeps its condition");
+        auto remove = make_call(platform_operation::compare_and_delete, "k");
+        remove.expected_version = 5;
+        const auto decoded = sent_over(remove);
+        ASSERT_TRUE(decoded.ok());
+        EXPECT_EQ(decoded->operation, platform_operation::compare_and_delete);
+        EXPECT_EQ(decoded->key, "k");
+        EXPECT_EQ(decoded->expected_version, 5U);
+    }
+}
+
+TEST(store_protocol, tells_the_ends_of_calls_apart)
+{
+    const auto codec = platform::store_codec();
+    struct ending
+    {
+        platform_operation operation;
+        unsigned http_status;
+        platform_status status;
+    };
+    for (const auto& [operation, http_status, status] :
+         {ending{platform_operation::get, 404, platform_status::not_found},
+          ending{
+              platform_operation::lease_renew, 404,
+              platform_status::lease_expired},
+          ending{
+              platform_operation::compare_and_swap, 404,
+              platform_status::lease_expired},
+          ending{platform_operation::watch, 410, platform_status::history_lost},
+          ending{platform_operation::get, 429, platform_status::rejected},
+          ending{platform_operation::get, 403, platform_status::rejected},
+          ending{platform_operation::get, 503, platform_status::unavailable}})
+    {
+        SCOPED_TRACE(http_status);
+        const auto reply = codec.decode_reply(
+            make_call(operation, "key"), {http_status, "not even JSON"});
+        ASSERT_TRUE(reply.ok()) << reply.status();
+        EXPECT_EQ(reply->status, status);
+    }
+    {
+        SCOPED_TRACE("a conflict shows the present entry");
+        const auto call =
+            make_call(platform_operation::compare_and_swap, "key");
+        const auto reply = codec.decode_reply(
+            call, {412, R"({"items":[{"key":"key","value":"eA==","rev":7}]})"});
+        ASSERT_TRUE(reply.ok());
+        EXPECT_EQ(reply->status, platform_status::conflict);
+        EXPECT_EQ(reply->entries.at(0).value, "x");
+    }
+    {
+        SCOPED_TRACE("events of others that cannot be read are passed over");
+        const auto reply = codec.decode_reply(
+            make_call(platform_operation::watch, "k"),
+            {200, R"({"events":[5,{"key":"k1","value":"?","rev":1},)"
+                  R"({"key":"k2","rev":2,"tombstone":true},)"
+                  R"({"key":"k3","value":"eA==","rev":3}],"asOf":3})"});
+        ASSERT_TRUE(reply.ok());
+        ASSERT_EQ(reply->entries.size(), 2U);
+        EXPECT_TRUE(reply->entries[0].removed);
+        EXPECT_EQ(reply->entries[1].value, "x");
+        EXPECT_EQ(reply->revision, 3U);
+    }
+    EXPECT_FALSE(
+        codec
+            .decode_reply(
+                make_call(platform_operation::get, "k"), {200, "no JSON"})
+            .ok());
 }
 
-TEST(platform_protocol, names_all_that_is_wrong)
+TEST(store_protocol, refuses_what_is_no_call)
 {
-    const auto call = decode_platform_call(
-        "/v1/kv/get", R"({"key":5,"lease":"x","value_base64":"?"})");
-    ASSERT_FALSE(call.ok());
-    const std::string text(call.status().message());
-    EXPECT_NE(text.find("/key"), std::string::npos) << text;
-    EXPECT_NE(text.find("/lease"), std::string::npos) << text;
-    EXPECT_NE(text.find("/value_base64"), std::string::npos) << text;
+    const auto codec = platform::store_codec();
+    for (const platform_request& request :
+         {platform_request{"POST", "/kv-txn", "{}"},
+          platform_request{"POST", "/kv-txn", "no JSON"},
+          platform_request{
+              "POST", "/kv-txn",
+              R"({"expect":[{"key":"a","rev":0}],)"
+              R"("writes":[{"key":"a","value":"?"}]})"},
+          platform_request{"POST", "/kv-lease", R"({"ttlS":"x"})"},
+          platform_request{"POST", "/kv-lease", R"({"ttlS":-1})"},
+          platform_request{"GET", "/other", ""}})
+    {
+        SCOPED_TRACE(request.target + ' ' + request.body);
+        EXPECT_FALSE(codec.decode_call(request).ok());
+    }
 }
 
 TEST(platform_over_http, story_of_a_value)
