Trust announced slots, keep room for calls, and bound repeats for the fleet

Ruled out: processor time of the node (0.11 cores).

Change: a limit that trusts the announced slots; calls are the most important class and roots leave 15% of the limit to them; a request that a node turned away unrun may go to another upstream without a repeat; repeats are bounded by service to the fleet's slack; Retry-After is spread over a second.

--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -35,6 +35,15 @@
             locations, loop.state.membership.settings.data_centre, *previous));
     }
     loop.services.path.routing.publish(std::move(next));
+    if (loop.retry_slack > 0)
+    {
+        // Half, since the repeats of calls of repeated requests come on top.
+        const double hosts =
+            static_cast<double>(loop.state.membership.members.size()) + 1.0;
+        limit_service_retries(
+            loop.services.path.retries,
+            std::max(1.0, loop.retry_slack / 2.0 / hosts));
+    }
 }
 
 void publish_configuration(control_loop& loop)
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -60,6 +60,8 @@
     // be the newest; zero for ever.
     duration key_trust{};
     bool are_keys_trusted = true;
+    // Repeats that the fleet may save up for a service; zero for no bound.
+    std::uint32_t retry_slack = 0;
     bool platform_reachable = true;
     bool leaving = false;
     // A tick has been asked for because requests wait for tokens.
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -537,6 +537,12 @@
     node->services.limits = limits_of(settings.limits);
     node->services.dialect = dialect;
     node->services.local_service = settings.service;
+    node->services.path.keyless_are_calls =
+        dialect.headers.call_handle.empty();
+    node->gate.gate.settings = {
+        settings.upstream.trusts_slots != 0,
+        settings.upstream.reserved_for_calls / 100.0};
+    node->control.retry_slack = settings.retries.fleet_slack;
     node->services.path.limiter.longest_wait = settings.rates.longest_wait;
     for (unsigned i = 0; i < settings.request_threads; ++i)
     {
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -76,6 +76,22 @@
     std::chrono::milliseconds term{5'000};
 };
 
+struct upstream_settings
+{
+    // The announced slots are what the upstream really runs at once.
+    std::uint32_t trusts_slots = 0;
+    // Percent of the concurrency limit that callers' requests leave to calls
+    // of upstreams.
+    std::uint32_t reserved_for_calls = 0;
+};
+
+struct retry_settings
+{
+    // Repeats that the whole fleet may send to one service in
+    // `retry_window`, beyond a tenth of the requests for it.
+    std::uint32_t fleet_slack = 0;
+};
+
 struct claim_settings
 {
     // How long the outcome of a never-repeat request is kept.
@@ -121,6 +137,8 @@
     membership_timings membership;
     rate_settings rates;
     claim_settings claims;
+    upstream_settings upstream;
+    retry_settings retries;
     log_settings log;
     // Events kept in memory for the time line.
     std::uint32_t event_ring_size = 65'536;
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -134,6 +134,21 @@
     setting_entry{
         "/rates/term_ms", CYCLAMEN_MEMBER(rates.term), optional, 100, 600'000,
         "ms", "How long a pledge or a loan of rate lasts."},
+    setting_entry{
+        "/upstream/trusts_slots", CYCLAMEN_MEMBER(upstream.trusts_slots),
+        optional, 0, 1, "",
+        "1 where the slots that upstreams announce are what they really run "
+        "at once; otherwise the limit is learned."},
+    setting_entry{
+        "/upstream/reserved_for_calls",
+        CYCLAMEN_MEMBER(upstream.reserved_for_calls), optional, 0, 90, "%",
+        "Part of the limit that callers' requests leave to calls of "
+        "upstreams."},
+    setting_entry{
+        "/retries/fleet_slack", CYCLAMEN_MEMBER(retries.fleet_slack), optional,
+        0, 1'000'000, "requests",
+        "Repeats that all nodes together may save up for each service; 0 for "
+        "no such bound."},
     setting_entry{
         "/claims/retention_ms", CYCLAMEN_MEMBER(claims.retention), optional,
         1000, 24 * hour_ms, "ms",
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -307,7 +307,7 @@
     set_abort(*call.work, nullptr);
     fail(
         *call.work,
-        {shed ? refusal::overloaded : refusal::no_upstream, outcome::not_run},
+        {refusal::upstream_failed, outcome::not_run},
         call.report(), call.returned_allowance());
     co_return upstream_result{
         shed ? gate_result::shed : gate_result::failed, false,
--- a/src/core/base/outcome.hpp
+++ b/src/core/base/outcome.hpp
@@ -163,7 +163,9 @@
     const unsigned status = http_status_of(reason);
     if (result == outcome::not_run)
     {
-        return reason == refusal::deadline_exceeded ? 503 : status;
+        const bool is_promised = reason == refusal::deadline_exceeded ||
+                                 reason == refusal::upstream_failed;
+        return is_promised ? 503 : status;
     }
     return is_promise(status) ? 502 : status;
 }
--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -87,7 +87,9 @@
     emit(
         actions, event_kind::configuration_applied,
         "version " + std::to_string(next.revision) + " after " +
-            std::to_string(chain.current->revision) + " from " + from);
+            std::to_string(chain.current->revision) + " from " + from + ", " +
+            std::to_string(next.routes.size()) + " routes, " +
+            std::to_string(next.workspaces.size()) + " workspaces");
     state.text = text;
     if (next.data_centres.empty())
     {
--- a/src/core/gate/concurrency_limit.cpp
+++ b/src/core/gate/concurrency_limit.cpp
@@ -22,6 +22,12 @@
 constexpr double growth_share = 0.05;
 constexpr double shed_factor = 0.9;
 constexpr double latency_weight = 0.05;
+// Of the slots announced by an upstream that is trusted; the rest is for its
+// health check and for those who call it past this node.
+constexpr double trusted_share = 0.95;
+// How fast a trusted limit grows back after the upstream shed, as a part of
+// the slots a second.
+constexpr double trusted_regrowth = 0.2;
 constexpr duration warm_up_time = 10s;
 constexpr double warm_up_floor = 0.1;
 
@@ -34,7 +40,7 @@
 
 double warm_up_share(const concurrency_limit& limit, time_point now)
 {
-    if (!limit.warming)
+    if (!limit.warming || limit.trusts_announced)
     {
         return 1.0;
     }
@@ -150,6 +156,21 @@
     }
 }
 
+void grow_back(concurrency_limit& limit, time_point now)
+{
+    const double elapsed = to_seconds(now - limit.phase_started);
+    limit.phase_started = now;
+    const double usable = limit.announced * trusted_share;
+    if (limit.value > 0.0 && limit.value < usable)
+    {
+        limit.value = bounded(
+            limit,
+            std::min(
+                usable, limit.value + limit.announced * trusted_regrowth *
+                                          std::min(elapsed, 1.0)));
+    }
+}
+
 } // namespace
 
 void limit_announce(
@@ -167,7 +188,9 @@
     }
     limit.announced = slots;
     limit.cap = connections;
-    limit.value = connections == 0 ? 0.0 : bounded(limit, slots);
+    const double usable =
+        limit.trusts_announced ? slots * trusted_share : slots;
+    limit.value = connections == 0 ? 0.0 : bounded(limit, usable);
     limit.raised_slope = slope_threshold;
     limit.lowered_slope = 0.0;
     begin_phase(limit, limit_phase::steady, now);
@@ -252,6 +275,11 @@
 
 void limit_tick(concurrency_limit& limit, time_point now)
 {
+    if (limit.trusts_announced)
+    {
+        grow_back(limit, now);
+        return;
+    }
     const duration length = probe_length(limit);
     const duration elapsed = now - limit.phase_started;
     if (limit.phase == limit_phase::steady)
--- a/src/core/gate/concurrency_limit.hpp
+++ b/src/core/gate/concurrency_limit.hpp
@@ -39,6 +39,10 @@
 
 struct concurrency_limit
 {
+    // The announced slots are what the upstream really runs at once, so that
+    // nothing is probed; the limit only falls when the upstream sheds, and
+    // grows back.
+    bool trusts_announced = false;
     double value = 0.0;
     std::uint32_t announced = 0;
     // The connection cap; never exceeded.
--- a/src/core/gate/fair_queue.cpp
+++ b/src/core/gate/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "core/gate/fair_queue.hpp"
 
 #include <cmath>
+#include <span>
 
 namespace cyclamenhold
 {
@@ -131,9 +132,12 @@
 }
 
 std::optional<gate_request>
-queue_pop(fair_queue& queue, queue_order order, time_point now)
+queue_pop(
+    fair_queue& queue, queue_order order, time_point now,
+    priority_class lowest_class)
 {
-    for (auto& entry : queue.classes)
+    const auto classes = static_cast<std::size_t>(lowest_class) + 1;
+    for (auto& entry : std::span(queue.classes).first(classes))
     {
         if (entry.waiting.empty())
         {
--- a/src/core/gate/fair_queue.hpp
+++ b/src/core/gate/fair_queue.hpp
@@ -76,9 +76,12 @@
 
 void queue_push(fair_queue& queue, gate_request request);
 
-// The next request to start, counted as served.
+// The next request to start, of this class or a more important one, counted
+// as served.
 [[nodiscard]] std::optional<gate_request>
-queue_pop(fair_queue& queue, queue_order order, time_point now);
+queue_pop(
+    fair_queue& queue, queue_order order, time_point now,
+    priority_class lowest_class = priority_class::low);
 
 // Counts a request that was started without waiting.
 void queue_note_served(
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -31,6 +31,15 @@
     return gate.running.size() < current_limit(gate.limit, now);
 }
 
+// Roots leave some of the limit to calls.
+bool has_room_for_roots(const gate_state& gate, time_point now)
+{
+    const double limit = current_limit(gate.limit, now);
+    const double share = 1.0 - gate.settings.reserved_for_calls;
+    return static_cast<double>(gate.running_roots) <
+           std::max(1.0, limit * share);
+}
+
 void refuse_all(
     gate_verdicts& verdicts, const std::vector<gate_request>& requests,
     refusal reason)
@@ -50,7 +59,9 @@
         request.ticket,
         gate_running{
             limit_note_start(gate.limit, running, now), request.context.digest,
-            request.context.priority, request.suspect});
+            request.context.priority, request.suspect,
+            request.context.depth == 0});
+    gate.running_roots += request.context.depth == 0 ? 1 : 0;
     gate.suspect_running = gate.suspect_running || request.suspect;
     admission_note_start(
         gate.admission, request.context.priority, now - request.arrived);
@@ -87,7 +98,16 @@
                                   : queue_order::oldest_first;
     while (queue_size(gate.queue) > 0 && has_room(gate, now))
     {
-        const gate_request request = *queue_pop(gate.queue, order, now);
+        // Calls are of the most important class.
+        const priority_class lowest = has_room_for_roots(gate, now)
+                                          ? priority_class::low
+                                          : priority_class::critical;
+        const auto popped = queue_pop(gate.queue, order, now, lowest);
+        if (!popped)
+        {
+            return;
+        }
+        const gate_request& request = *popped;
         if (is_doomed(gate, request, now))
         {
             admission_note_refusal(gate.admission, request.context.priority);
@@ -151,6 +171,7 @@
 {
     gate_verdicts verdicts;
     gate.upstream = record;
+    gate.limit.trusts_announced = gate.settings.trusts_announced_slots;
     limit_announce(
         gate.limit, record.slots, record.connections,
         record.state == upstream_state::warming, now);
@@ -199,6 +220,7 @@
     const gate_running ended = found->second;
     const auto running = static_cast<std::uint32_t>(gate.running.size());
     gate.running.erase(found);
+    gate.running_roots -= ended.is_root ? 1 : 0;
     if (ended.suspect)
     {
         gate.suspect_running = false;
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -45,10 +45,22 @@
     std::uint64_t digest = 0;
     priority_class priority = priority_class::normal;
     bool suspect = false;
+    // Entered here from a caller, not from an upstream that waits for it.
+    bool is_root = false;
+};
+
+struct gate_settings
+{
+    // See concurrency_limit.
+    bool trusts_announced_slots = false;
+    // The part of the limit that roots leave to calls: upstreams that all wait
+    // for calls to each other would otherwise never end.
+    double reserved_for_calls = 0.0;
 };
 
 struct gate_state
 {
+    gate_settings settings;
     upstream_record upstream;
     concurrency_limit limit;
     std::unordered_map<gate_ticket, gate_running> running;
@@ -57,6 +69,7 @@
     // beside a suspect points at one request.
     std::deque<gate_request> suspects;
     bool suspect_running = false;
+    std::size_t running_roots = 0;
     admission_control admission;
 };
 
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr unsigned first_server_error = 500;
+// A request that so many nodes turned away is refused.
+constexpr std::uint32_t most_turned_away = 2;
 
 call_step refuse(refusal reason, outcome result, duration retry_after = {})
 {
@@ -24,6 +26,16 @@
     return step;
 }
 
+// When a caller that was refused for load should come back: spread, so that
+// those who were refused together do not return together.
+duration return_time(random_source& random)
+{
+    constexpr double earliest_seconds = 0.5;
+    constexpr double spread_seconds = 1.0;
+    return from_seconds(
+        earliest_seconds + spread_seconds * random_fraction(random));
+}
+
 outcome outcome_of(const call_state& call)
 {
     return call.may_have_run ? outcome::unknown : outcome::not_run;
@@ -65,7 +77,8 @@
     note_level_below(path, call, choice, now);
     if (choice.reason != refusal::none)
     {
-        return refuse(choice.reason, outcome_of(call), 1s);
+        return refuse(
+            choice.reason, outcome_of(call), return_time(random));
     }
     call.target = std::move(choice.candidate);
     call.tried.push_back(call.target.location.host);
@@ -93,7 +106,8 @@
     {
         return std::nullopt;
     }
-    return refuse(refusal::overloaded, outcome::not_run, 1s);
+    return refuse(
+        refusal::overloaded, outcome::not_run, return_time(random));
 }
 
 // Counts a root request against its workspace's retry budget when it is a
@@ -107,7 +121,7 @@
         take_failed_request(path.retries, call.context.digest, now);
     if (!failed)
     {
-        note_first_attempt(path.retries, workspace);
+        note_first_attempt(path.retries, workspace, call.context.service);
         return std::nullopt;
     }
     // A re-send keeps its slot: drawing again would only add load.
@@ -115,7 +129,8 @@
     const admission_level level = level_of_route(path.levels, call.route, now);
     const bool overloaded = level.lowest_class <= call.context.priority &&
                             open_positions(level) < admission_position_count;
-    if (take_retry(path.retries, workspace) || !overloaded)
+    if (take_retry(path.retries, workspace, call.context.service) ||
+        !overloaded)
     {
         return std::nullopt;
     }
@@ -200,6 +215,15 @@
     call.context.retry_allowance += returned;
 }
 
+// The node beside the upstream refused, so that no upstream has seen the
+// request: another may take it without a repeat.
+bool was_turned_away(const attempt_result& result)
+{
+    return has_not_run(result) && (result.reason == refusal::overloaded ||
+                                   result.reason == refusal::draining ||
+                                   result.reason == refusal::no_upstream);
+}
+
 bool may_retry(
     request_path& path, const call_state& call, const attempt_result& result)
 {
@@ -212,7 +236,8 @@
     {
         return false;
     }
-    return take_retry(path.retries, call.context.workspace);
+    return take_retry(
+        path.retries, call.context.workspace, call.context.service);
 }
 
 // A node that has been cut off may not know of withdrawn keys.
@@ -268,7 +293,7 @@
     }
     if (request.parent)
     {
-        note_first_attempt(path.retries, workspace);
+        note_first_attempt(path.retries, workspace, call.context.service);
         return after_token(path, call, now, random);
     }
     if (auto refused = count_resend(path, call, now))
@@ -363,6 +388,12 @@
         return step;
     }
     call.may_have_run = call.may_have_run || !has_not_run(result);
+    if (was_turned_away(result) && result.replayable &&
+        call.turned_away < most_turned_away)
+    {
+        ++call.turned_away;
+        return next_attempt(path, call, now, random);
+    }
     if (may_retry(path, call, result))
     {
         --call.context.retry_allowance;
@@ -371,7 +402,7 @@
     const refusal reason = result.reason == refusal::none
                                ? refusal::upstream_failed
                                : result.reason;
-    return refuse(reason, outcome_of(call), 1s);
+    return refuse(reason, outcome_of(call), return_time(random));
 }
 
 void end_call(request_path& path, call_state& call, time_point now)
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -41,6 +41,9 @@
     snapshot_cell<quarantine_view> quarantine;
     fair_slots slots;
     route_levels levels;
+    // Upstreams make their calls without a key or a handle: requests without
+    // a key are taken for calls.
+    bool keyless_are_calls = false;
     std::atomic<bool> draining{false};
     // Until when keys may be trusted without a newer proof that the
     // configuration here is the newest; nanoseconds of the clock, the largest
@@ -111,6 +114,8 @@
     // A byte of the request may have reached an upstream.
     bool may_have_run = false;
     std::uint32_t attempts = 0;
+    // Attempts that an upstream's node turned away before its upstream.
+    std::uint32_t turned_away = 0;
     // Went out with the attempt under way and may come back with its end.
     std::uint16_t passed_allowance = 0;
     std::shared_ptr<call_record> parent_record;
--- a/src/core/request/call_context.cpp
+++ b/src/core/request/call_context.cpp
@@ -53,6 +53,10 @@
         return;
     }
     context.trace = {random(), random()};
+    if (path.keyless_are_calls && !request.key)
+    {
+        context.depth = 1;
+    }
     context.priority = settings.priority;
     context.slot =
         draw_slot(path.slots, workspace, context.priority, now, random);
--- a/src/core/retries/retry_budget.cpp
+++ b/src/core/retries/retry_budget.cpp
@@ -23,6 +23,13 @@
     return found->second.tokens;
 }
 
+double& tokens_of(retry_budget& budget, service_id service)
+{
+    const auto [found, is_new] = budget.services.try_emplace(
+        service, retry_tokens{budget.most_for_service});
+    return found->second.tokens;
+}
+
 failed_request& entry_of(retry_budget& budget, std::uint64_t digest)
 {
     if (budget.failed.empty())
@@ -34,25 +41,41 @@
 
 } // namespace
 
-void note_first_attempt(retry_budget& budget, workspace_id workspace)
+void note_first_attempt(
+    retry_budget& budget, workspace_id workspace, service_id service)
 {
     const std::scoped_lock lock(budget.mutex);
     double& tokens = tokens_of(budget, workspace);
     tokens = std::min(max_tokens, tokens + retry_share);
+    double& of_service = tokens_of(budget, service);
+    of_service = std::min(budget.most_for_service, of_service + retry_share);
 }
 
-bool take_retry(retry_budget& budget, workspace_id workspace)
+bool take_retry(
+    retry_budget& budget, workspace_id workspace, service_id service)
 {
     const std::scoped_lock lock(budget.mutex);
     double& tokens = tokens_of(budget, workspace);
-    if (tokens < 1.0)
+    double& of_service = tokens_of(budget, service);
+    if (tokens < 1.0 || of_service < 1.0)
     {
         return false;
     }
     tokens -= 1.0;
+    of_service -= 1.0;
     return true;
 }
 
+void limit_service_retries(retry_budget& budget, double most)
+{
+    const std::scoped_lock lock(budget.mutex);
+    budget.most_for_service = most;
+    for (auto& [service, entry] : budget.services)
+    {
+        entry.tokens = std::min(entry.tokens, most);
+    }
+}
+
 void note_failed_request(retry_budget& budget, const failed_request& request)
 {
     const std::scoped_lock lock(budget.mutex);
--- a/src/core/retries/retry_budget.hpp
+++ b/src/core/retries/retry_budget.hpp
@@ -7,6 +7,7 @@
 #include "core/base/time.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
@@ -34,15 +35,23 @@
 {
     std::mutex mutex;
     std::unordered_map<workspace_id, retry_tokens> workspaces;
+    std::unordered_map<service_id, retry_tokens> services;
+    // What a service may save up at this node; its part of what the fleet may.
+    double most_for_service = std::numeric_limits<double>::max();
     // A direct-mapped table by digest: bounded, and the newest stays.
     std::vector<failed_request> failed;
 };
 
-// A first attempt of the workspace.
-void note_first_attempt(retry_budget& budget, workspace_id workspace);
+// A first attempt of the workspace at the service.
+void note_first_attempt(
+    retry_budget& budget, workspace_id workspace, service_id service);
 
-// Takes one retry out of the workspace's budget; false when there is none.
-[[nodiscard]] bool take_retry(retry_budget& budget, workspace_id workspace);
+// Takes one retry out of the budgets of both; false when one has none.
+[[nodiscard]] bool take_retry(
+    retry_budget& budget, workspace_id workspace, service_id service);
+
+// Sets what each service may save up at this node.
+void limit_service_retries(retry_budget& budget, double most);
 
 // A root request failed or was refused, so that its caller may send it again.
 void note_failed_request(retry_budget& budget, const failed_request& request);
--- a/tests/core/retries_test.cpp
+++ b/tests/core/retries_test.cpp
@@ -172,14 +172,15 @@
     std::size_t retries = 0;
     for (int i = 0; i < 1000; ++i)
     {
-        note_first_attempt(budget, workspace);
-        retries += take_retry(budget, workspace) ? 1 : 0;
+        note_first_attempt(budget, workspace, service_id_of("shop"));
+        retries += take_retry(budget, workspace, service_id_of("shop")) ? 1 : 0;
     }
     EXPECT_LE(retries, 110U);
     EXPECT_GE(retries, 100U);
     {
         SCOPED_TRACE("another workspace has its own");
-        EXPECT_TRUE(take_retry(budget, workspace_id_of("museum")));
+        EXPECT_TRUE(take_retry(
+            budget, workspace_id_of("museum"), service_id_of("shop")));
     }
     {
         SCOPED_TRACE("a failure is matched by one re-send, for a while");
