Throttle routes at their entry by what fails below them

Ruled out: upstreams' own faults (0.4%).

Change: core/request/route_throttle, by the failures of each route, less important classes first, those who come back before newcomers. Its first form, the share of successes as in client-side throttling, took over ten seconds to open again (its test showed it) and was replaced before it ran.

--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -537,8 +537,7 @@
     node->services.limits = limits_of(settings.limits);
     node->services.dialect = dialect;
     node->services.local_service = settings.service;
-    node->services.path.keyless_are_calls =
-        dialect.headers.call_handle.empty();
+    node->services.path.keyless_are_calls = dialect.headers.call_handle.empty();
     node->gate.gate.settings = {
         settings.upstream.trusts_slots != 0,
         settings.upstream.reserved_for_calls / 100.0};
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -306,9 +306,8 @@
     const auto error = co_await skip_body(call, parser);
     set_abort(*call.work, nullptr);
     fail(
-        *call.work,
-        {refusal::upstream_failed, outcome::not_run},
-        call.report(), call.returned_allowance());
+        *call.work, {refusal::upstream_failed, outcome::not_run}, call.report(),
+        call.returned_allowance());
     co_return upstream_result{
         shed ? gate_result::shed : gate_result::failed, false,
         !error && keep_alive};
--- a/src/core/gate/fair_queue.cpp
+++ b/src/core/gate/fair_queue.cpp
@@ -131,8 +131,7 @@
     ++entry.size;
 }
 
-std::optional<gate_request>
-queue_pop(
+std::optional<gate_request> queue_pop(
     fair_queue& queue, queue_order order, time_point now,
     priority_class lowest_class)
 {
--- a/src/core/gate/fair_queue.hpp
+++ b/src/core/gate/fair_queue.hpp
@@ -78,8 +78,7 @@
 
 // The next request to start, of this class or a more important one, counted
 // as served.
-[[nodiscard]] std::optional<gate_request>
-queue_pop(
+[[nodiscard]] std::optional<gate_request> queue_pop(
     fair_queue& queue, queue_order order, time_point now,
     priority_class lowest_class = priority_class::low);
 
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -22,8 +22,12 @@
 
 std::size_t queue_bound(const gate_state& gate, time_point now)
 {
+    const std::size_t limit = current_limit(gate.limit, now);
+    // Where calls are known, most of what waits is calls: work above them has
+    // been paid for, and they are short.
+    const bool holds_calls = gate.settings.reserved_for_calls > 0.0;
     return std::max(
-        min_queue_size, current_limit(gate.limit, now) / queue_divisor);
+        min_queue_size, holds_calls ? limit : limit / queue_divisor);
 }
 
 bool has_room(const gate_state& gate, time_point now)
@@ -56,11 +60,10 @@
 {
     const auto running = static_cast<std::uint32_t>(gate.running.size() + 1);
     gate.running.emplace(
-        request.ticket,
-        gate_running{
-            limit_note_start(gate.limit, running, now), request.context.digest,
-            request.context.priority, request.suspect,
-            request.context.depth == 0});
+        request.ticket, gate_running{
+                            limit_note_start(gate.limit, running, now),
+                            request.context.digest, request.context.priority,
+                            request.suspect, request.context.depth == 0});
     gate.running_roots += request.context.depth == 0 ? 1 : 0;
     gate.suspect_running = gate.suspect_running || request.suspect;
     admission_note_start(
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -77,8 +77,7 @@
     note_level_below(path, call, choice, now);
     if (choice.reason != refusal::none)
     {
-        return refuse(
-            choice.reason, outcome_of(call), return_time(random));
+        return refuse(choice.reason, outcome_of(call), return_time(random));
     }
     call.target = std::move(choice.candidate);
     call.tried.push_back(call.target.location.host);
@@ -98,16 +97,24 @@
 
 // Refuses a root request that a service below its route would refuse.
 std::optional<call_step> refuse_early(
-    request_path& path, const call_state& call, time_point now,
-    random_source& random)
+    request_path& path, call_state& call, time_point now, random_source& random)
 {
+    if (path.keyless_are_calls)
+    {
+        call.is_throttled = throttle_admits(
+            path.throttle, call.route, call.context.priority, call.is_resend,
+            now, random);
+        return call.is_throttled ? std::nullopt
+                                 : std::optional(refuse(
+                                       refusal::overloaded, outcome::not_run,
+                                       return_time(random)));
+    }
     const admission_level level = level_of_route(path.levels, call.route, now);
     if (admits(level, call.context, random))
     {
         return std::nullopt;
     }
-    return refuse(
-        refusal::overloaded, outcome::not_run, return_time(random));
+    return refuse(refusal::overloaded, outcome::not_run, return_time(random));
 }
 
 // Counts a root request against its workspace's retry budget when it is a
@@ -126,6 +133,7 @@
     }
     // A re-send keeps its slot: drawing again would only add load.
     call.context.slot = failed->slot;
+    call.is_resend = true;
     const admission_level level = level_of_route(path.levels, call.route, now);
     const bool overloaded = level.lowest_class <= call.context.priority &&
                             open_positions(level) < admission_position_count;
@@ -315,6 +323,7 @@
     case token_verdict::admitted:
         return after_token(path, call, now, random);
     case token_verdict::refused:
+        call.ended_aside = true;
         return refuse(refusal::rate_exceeded, outcome::not_run, retry_after);
     case token_verdict::waiting:
         break;
@@ -330,6 +339,7 @@
 {
     if (!admitted)
     {
+        call.ended_aside = true;
         return refuse(refusal::rate_exceeded, outcome::not_run, 1s);
     }
     return after_token(path, call, now, random);
@@ -379,6 +389,7 @@
         note_downstream(path, call, result, now);
     }
     take_back_allowance(call, result);
+    call.ended_aside = result.status == attempt_status::cancelled;
     if (result.status == attempt_status::replied)
     {
         call.answered = result.http_status < first_server_error;
@@ -407,6 +418,10 @@
 
 void end_call(request_path& path, call_state& call, time_point now)
 {
+    if (call.is_throttled && !call.ended_aside)
+    {
+        throttle_note_end(path.throttle, call.route, call.answered, now);
+    }
     if (call.parent_record)
     {
         call.parent_record->allowance.give_back(call.context.retry_allowance);
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -13,6 +13,7 @@
 #include "core/request/fair_slots.hpp"
 #include "core/request/request_tables.hpp"
 #include "core/request/route_levels.hpp"
+#include "core/request/route_throttle.hpp"
 #include "core/retries/allowance.hpp"
 #include "core/retries/retry_budget.hpp"
 #include "core/routing/routing.hpp"
@@ -41,6 +42,8 @@
     snapshot_cell<quarantine_view> quarantine;
     fair_slots slots;
     route_levels levels;
+    // Used where replies do not tell of the services below.
+    route_throttle throttle;
     // Upstreams make their calls without a key or a handle: requests without
     // a key are taken for calls.
     bool keyless_are_calls = false;
@@ -125,6 +128,12 @@
     // The workspace has no rate.
     bool unlimited = false;
     bool answered = false;
+    // The caller sends again what was refused or failed before.
+    bool is_resend = false;
+    // Counted by the throttle, which hears of its end.
+    bool is_throttled = false;
+    // Ended for a reason that says nothing of load.
+    bool ended_aside = false;
     std::vector<host_id> tried;
     // The attempt under way.
     routing_candidate target;
--- a/src/core/retries/retry_budget.hpp
+++ b/src/core/retries/retry_budget.hpp
@@ -47,8 +47,8 @@
     retry_budget& budget, workspace_id workspace, service_id service);
 
 // Takes one retry out of the budgets of both; false when one has none.
-[[nodiscard]] bool take_retry(
-    retry_budget& budget, workspace_id workspace, service_id service);
+[[nodiscard]] bool
+take_retry(retry_budget& budget, workspace_id workspace, service_id service);
 
 // Sets what each service may save up at this node.
 void limit_service_retries(retry_budget& budget, double most);
