--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -382,6 +382,11 @@
     run.caller = caller;
     run.parent = std::move(parent);
     run.state.id = thread.services.next_call++;
+    if (const auto resumed = noticed_resumption(thread.services.suspensions))
+    {
+        path.resumed_at = resumed->time_since_epoch().count();
+        path.keys_valid_until = 0;
+    }
     run.head.method = request.method;
     run.head.target = request.target;
     run.head.body_size = request.body_size;
--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace cyclamenhold
@@ -42,7 +43,7 @@
     caller->parser = std::make_unique<caller_parser>();
     caller->parser->header_limit(limits.max_header_bytes);
     caller->parser->body_limit(limits.max_body_bytes);
-    caller->prefix.clear();
+    caller->prefix = {};
     caller->body_complete = false;
     if (caller->buffer.size() == 0)
     {
@@ -106,18 +107,25 @@
     }
     auto& parser = *caller->parser;
     auto& body = parser.get().body();
+    // As much as is announced, or a little more than has come so far.
+    constexpr std::size_t first_room = 4 * 1024;
+    const std::size_t announced = std::min<std::uint64_t>(
+        parser.content_length().value_or(first_room), max_chunk_bytes);
+    caller->prefix.reserve(announced);
     while (!parser.is_done() && caller->prefix.size() < max_chunk_bytes)
     {
         const std::size_t filled = caller->prefix.size();
-        caller->prefix.resize(max_chunk_bytes);
+        const std::size_t room =
+            std::min(max_chunk_bytes, std::max(announced + 1, 2 * filled));
+        caller->prefix.resize(room);
         body.data = caller->prefix.data() + filled;
-        body.size = max_chunk_bytes - filled;
+        body.size = room - filled;
         caller->stream.expires_after(
             caller->thread.services.limits.body_stall_timeout);
         const auto [error, count] = co_await http::async_read_some(
             caller->stream, caller->buffer, parser,
             asio::as_tuple(asio::use_awaitable));
-        caller->prefix.resize(max_chunk_bytes - body.size);
+        caller->prefix.resize(room - body.size);
         if (error && error != http::error::need_buffer)
         {
             if (error == http::error::body_limit)
--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -66,7 +66,11 @@
     }
     const time_point confirmed =
         configuration_confirmed_at(loop.state.chain, loop.state.membership);
-    const time_point until = confirmed + loop.key_trust;
+    const bool is_older_than_suspension =
+        confirmed.time_since_epoch().count() <=
+        loop.services.path.resumed_at.load(std::memory_order_relaxed);
+    const time_point until =
+        is_older_than_suspension ? time_point{} : confirmed + loop.key_trust;
     loop.services.path.keys_valid_until.store(
         until.time_since_epoch().count(), std::memory_order_relaxed);
     const bool trusted = now() < until;
--- a/src/adapters/node_services.hpp
+++ b/src/adapters/node_services.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "adapters/exchange.hpp"
+#include "adapters/suspend_watch.hpp"
 #include "core/base/ids.hpp"
 #include "core/events/hybrid_clock.hpp"
 #include "core/request/call.hpp"
@@ -46,6 +47,7 @@
     http_limits limits;
     request_path path;
     std::atomic<std::uint64_t> next_call{1};
+    suspend_watch suspensions;
 
     // Records an event; callable from any thread.
     std::function<void(const event&)> record;
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -20,7 +20,9 @@
 constexpr std::uint32_t max_reply_header_bytes = 64 * 1024;
 constexpr unsigned http_version_1_1 = 11;
 
-using piece_space = std::array<char, max_chunk_bytes>;
+// Replies are read in pieces of this size, which bounds what a slow caller
+// makes a node hold.
+using piece_space = std::array<char, 16 * 1024>;
 
 // The failure of an attempt whose request reached the upstream.
 stream_failure failure_after(const beast::error_code& error)
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -48,6 +48,9 @@
     // a key are taken for calls.
     bool keyless_are_calls = false;
     std::atomic<bool> draining{false};
+    // The clock does not count while the host is suspended: proofs from before
+    // the last such moment say nothing. Nanoseconds of the clock.
+    std::atomic<std::int64_t> resumed_at{0};
     // Until when keys may be trusted without a newer proof that the
     // configuration here is the newest; nanoseconds of the clock, the largest
     // value where no proof is asked for.
--- /dev/null
+++ b/tests/core/document_source_test.cpp
@@ -0,0 +1,222 @@
+#include "core/configuration/document_source.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+// "version VERSION"; anything else cannot be read.
+absl::StatusOr<configuration>
+read_version(std::string_view text, std::string_view /*fleet_secret*/)
+{
+    constexpr std::string_view prefix = "version ";
+    if (!text.starts_with(prefix))
+    {
+        return absl::InvalidArgumentError("no version");
+    }
+    configuration read;
+    read.revision = std::stoull(std::string(text.substr(prefix.size())));
+    return read;
+}
+
+struct document_fixture
+{
+    document_fixture()
+    {
+        state.settings.key = "document";
+        state.settings.read = &read_version;
+        state.settings.watch_time = 2s;
+        document_start(state, chain, now);
+    }
+
+    // The call that is made by now, if any.
+    std::optional<platform_call> next_call()
+    {
+        document_tick(state, chain, members, now, random, actions);
+        if (actions.platform_calls.empty())
+        {
+            return std::nullopt;
+        }
+        const auto call = actions.platform_calls.back();
+        actions.platform_calls.clear();
+        return call;
+    }
+
+    void answer(
+        const platform_call& call, platform_status status,
+        std::vector<platform_entry> entries = {}, std::uint64_t revision = 0)
+    {
+        platform_reply reply;
+        reply.client = call.client;
+        reply.call_id = call.call_id;
+        reply.status = status;
+        reply.entries = std::move(entries);
+        reply.revision = revision;
+        document_on_platform_reply(state, chain, reply, now, random, actions);
+    }
+
+    document_state state;
+    chain_state chain;
+    membership_state members;
+    time_point now{100s};
+    random_source random{1};
+    control_actions actions;
+};
+
+TEST(document_source, versions_only_go_forward)
+{
+    document_fixture node;
+    auto call = node.next_call();
+    ASSERT_TRUE(call);
+    EXPECT_EQ(call->operation, platform_operation::get);
+    node.answer(
+        *call, platform_status::ok, {{"document", "version 7", 40}}, 41);
+    EXPECT_EQ(node.chain.current->revision, 7U);
+    {
+        SCOPED_TRACE("then changes are watched for, without a gap");
+        call = node.next_call();
+        ASSERT_TRUE(call);
+        EXPECT_EQ(call->operation, platform_operation::watch);
+        EXPECT_EQ(call->expected_version, 41U);
+    }
+    {
+        SCOPED_TRACE("of several versions the last is taken");
+        node.answer(
+            *call, platform_status::ok,
+            {{"document", "version 9", 42}, {"document", "version 12", 43}},
+            43);
+        EXPECT_EQ(node.chain.current->revision, 12U);
+    }
+    {
+        SCOPED_TRACE("an older one changes nothing");
+        call = node.next_call();
+        node.answer(
+            *call, platform_status::ok, {{"document", "version 11", 44}}, 44);
+        EXPECT_EQ(node.chain.current->revision, 12U);
+    }
+    {
+        SCOPED_TRACE("one that cannot be read leaves the old in force");
+        call = node.next_call();
+        node.answer(*call, platform_status::ok, {{"document", "?", 45}}, 45);
+        EXPECT_EQ(node.chain.current->revision, 12U);
+        EXPECT_EQ(
+            node.actions.events.back().kind,
+            event_kind::configuration_rejected);
+    }
+    {
+        SCOPED_TRACE("history that was dropped makes it read again");
+        call = node.next_call();
+        node.answer(*call, platform_status::history_lost);
+        call = node.next_call();
+        ASSERT_TRUE(call);
+        EXPECT_EQ(call->operation, platform_operation::get);
+    }
+}
+
+TEST(document_source, proofs_of_the_newest_version)
+{
+    document_fixture node;
+    auto call = node.next_call();
+    const time_point read_at = node.now;
+    node.now += 300ms;
+    node.answer(*call, platform_status::ok, {{"document", "version 7", 1}}, 1);
+    {
+        SCOPED_TRACE("a read proves what was so when it was asked");
+        EXPECT_EQ(
+            configuration_confirmed_at(node.chain, node.members), read_at);
+    }
+    {
+        SCOPED_TRACE("a watch that waited proves the time that it waited");
+        call = node.next_call();
+        const time_point asked_at = node.now;
+        node.now += 2'100ms;
+        node.answer(*call, platform_status::ok, {}, 1);
+        EXPECT_EQ(
+            configuration_confirmed_at(node.chain, node.members),
+            asked_at + 2s);
+    }
+    {
+        SCOPED_TRACE("one that is cut short proves only its start");
+        call = node.next_call();
+        const time_point asked_at = node.now;
+        node.now += 500ms;
+        node.answer(*call, platform_status::ok, {}, 1);
+        EXPECT_EQ(
+            configuration_confirmed_at(node.chain, node.members), asked_at);
+    }
+    {
+        SCOPED_TRACE("a peer's proof counts only for the version it has");
+        node.members.platform_read_at = node.now;
+        node.members.highest_revision = 7;
+        EXPECT_EQ(
+            configuration_confirmed_at(node.chain, node.members), node.now);
+        node.members.highest_revision = 8;
+        EXPECT_LT(
+            configuration_confirmed_at(node.chain, node.members), node.now);
+    }
+}
+
+TEST(document_source, the_platform_refuses_this_node)
+{
+    document_fixture refused;
+    document_fixture peer;
+    auto call = peer.next_call();
+    peer.answer(*call, platform_status::ok, {{"document", "version 7", 1}}, 1);
+    {
+        SCOPED_TRACE("it asks again, at most about once a second");
+        int calls = 0;
+        for (int i = 0; i < 100; ++i)
+        {
+            if (call = refused.next_call(); call)
+            {
+                ++calls;
+                refused.answer(*call, platform_status::unavailable);
+            }
+            refused.now += 100ms;
+        }
+        EXPECT_GE(calls, 10);
+        EXPECT_LE(calls, 30);
+    }
+    {
+        SCOPED_TRACE("a peer that has a version passes it on");
+        const auto asker = static_cast<host_id>(1);
+        const auto holder = static_cast<host_id>(2);
+        refused.members.highest_revision = 7;
+        refused.members.highest_revision_host = holder;
+        refused.actions = {};
+        for (int i = 0; i < 10 && refused.actions.messages.empty(); ++i)
+        {
+            (void)refused.next_call();
+            refused.now += 100ms;
+        }
+        ASSERT_EQ(refused.actions.messages.size(), 1U);
+        const auto& pull = refused.actions.messages.front();
+        EXPECT_EQ(pull.to, holder);
+        peer.actions = {};
+        document_on_message(
+            peer.state, peer.chain, {asker, pull.kind, pull.payload}, peer.now,
+            peer.actions);
+        ASSERT_FALSE(peer.actions.messages.empty());
+        for (const auto& part : peer.actions.messages)
+        {
+            document_on_message(
+                refused.state, refused.chain, {holder, part.kind, part.payload},
+                refused.now, refused.actions);
+        }
+        EXPECT_EQ(refused.chain.current->revision, 7U);
+    }
+    {
+        SCOPED_TRACE("a message that is none changes nothing");
+        const std::vector<std::uint8_t> bytes{1, 2, 3};
+        document_on_message(
+            refused.state, refused.chain,
+            {static_cast<host_id>(3), message_kind::configuration, bytes},
+            refused.now, refused.actions);
+        EXPECT_EQ(refused.actions.events.back().kind, event_kind::bad_input);
+    }
+}
+
+} // namespace
+} // namespace cyclamenhold
