End the process as soon as its planned stop has ended

Ruled out: work left (0 cut) and the node's own threads (the line "process-ending" follows at once).

Change: main ends by quick_exit after the stop.

--- a/src/apps/cyclamen-node/main.cpp
+++ b/src/apps/cyclamen-node/main.cpp
@@ -148,7 +148,12 @@
         return exit_failed;
     }
     print_ports(ports_of(**node));
-    return run_until_stopped(**node, settings_path(arguments));
+    const int code = run_until_stopped(**node, settings_path(arguments));
+    write_log(log, log_level::info, "process-ending", {{"code", code}});
+    // Nothing is left to save, and waiting for the threads of libraries would
+    // keep the platform from starting the next process.
+    std::cout.flush();
+    std::quick_exit(code);
 }
 
 } // namespace
