--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -78,6 +78,16 @@
     return request.context.deadline - now <= gate.limit.mean_latency / 2;
 }
 
+// How long before its deadline a queued request is given up: it could not end
+// in time, and its caller's node hears that it has not run while it still waits.
+duration answer_margin(const gate_state& gate)
+{
+    constexpr duration shortest = 10ms;
+    constexpr duration longest = 250ms;
+    return std::clamp(
+        duration(gate.limit.mean_latency / 2), shortest, longest);
+}
+
 void start_suspect(gate_state& gate, time_point now, gate_verdicts& verdicts)
 {
     if (gate.suspects.empty() || gate.suspect_running || !has_room(gate, now))
@@ -93,7 +103,7 @@
 void start_queued(gate_state& gate, time_point now, gate_verdicts& verdicts)
 {
     refuse_all(
-        verdicts, queue_take_expired(gate.queue, now),
+        verdicts, queue_take_expired(gate.queue, now + answer_margin(gate)),
         refusal::deadline_exceeded);
     start_suspect(gate, now, verdicts);
     const queue_order order = gate.admission.overloaded
--- a/tests/core/gate_test.cpp
+++ b/tests/core/gate_test.cpp
@@ -277,5 +277,84 @@
     EXPECT_EQ(gate_report(gate, start_time + 100ms).limit, 90U);
 }
 
+TEST(gate, calls_find_room_beside_callers_requests)
+{
+    gate_state gate;
+    gate.settings = {true, 0.25};
+    EXPECT_TRUE(gate_set_upstream(gate, serving(20), start_time).empty());
+    EXPECT_EQ(current_limit(gate.limit, start_time), 19U);
+    gate_ticket ticket = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+        (void)gate_offer(gate, make_request(++ticket), start_time);
+    }
+    const auto roots = gate.running.size();
+    {
+        SCOPED_TRACE("callers leave their part free");
+        EXPECT_EQ(roots, 15U);
+        EXPECT_GT(queue_size(gate.queue), 0U);
+    }
+    {
+        SCOPED_TRACE("a call of an upstream starts at once");
+        auto call = make_request(++ticket, priority_class::critical);
+        call.context.depth = 1;
+        EXPECT_TRUE(holds(
+            gate_offer(gate, call, start_time), ticket, refusal::none));
+    }
+    {
+        SCOPED_TRACE("its end gives no callers' request the room of calls");
+        (void)gate_finish(
+            gate, ticket, gate_result::replied, start_time + 5ms);
+        EXPECT_EQ(gate.running_roots, roots);
+    }
+    {
+        SCOPED_TRACE("the end of a caller's request does");
+        const auto verdicts =
+            gate_finish(gate, 1, gate_result::replied, start_time + 100ms);
+        EXPECT_EQ(verdicts.size(), 1U);
+        EXPECT_EQ(gate.running_roots, roots);
+    }
+}
+
+TEST(gate, a_trusted_limit_grows_back_after_the_upstream_shed)
+{
+    gate_state gate;
+    gate.settings = {true, 0.0};
+    (void)gate_set_upstream(gate, serving(100), start_time);
+    for (gate_ticket ticket = 1; ticket <= 50; ++ticket)
+    {
+        (void)gate_offer(gate, make_request(ticket), start_time);
+    }
+    (void)gate_finish(gate, 1, gate_result::shed, start_time + 100ms);
+    EXPECT_LT(current_limit(gate.limit, start_time + 100ms), 50U);
+    for (int i = 0; i < 500; ++i)
+    {
+        (void)gate_tick(gate, start_time + 100ms + i * 10ms);
+    }
+    EXPECT_EQ(current_limit(gate.limit, start_time + 6s), 95U);
+}
+
+TEST(gate, refuses_before_the_caller_gives_up)
+{
+    gate_state gate = make_gate(1);
+    // Runs of 200 ms.
+    for (gate_ticket ticket = 1; ticket < 60; ++ticket)
+    {
+        const time_point at = start_time + ticket * 200ms;
+        (void)gate_offer(
+            gate, make_request(ticket, priority_class::normal, 1, at + 10s),
+            at);
+        (void)gate_finish(gate, ticket, gate_result::replied, at + 200ms);
+    }
+    const time_point now = start_time + 60 * 200ms;
+    (void)gate_offer(
+        gate, make_request(100, priority_class::normal, 1, now + 10s), now);
+    (void)gate_offer(
+        gate, make_request(101, priority_class::normal, 1, now + 500ms), now);
+    EXPECT_TRUE(gate_tick(gate, now + 380ms).empty());
+    EXPECT_TRUE(holds(
+        gate_tick(gate, now + 420ms), 101, refusal::deadline_exceeded));
+}
+
 } // namespace
 } // namespace cyclamenhold
