Stop in time for the last request, grant bursts by window, give unused tokens back

New requests are now refused, unrun, after two fifths of the stop's time; the test in entry_test fails without that.

Rates: the deployment's bound is rate x window + burst in each window, so the burst is granted anew in each; tokens of requests that no upstream saw go back.

--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -61,7 +61,7 @@
     duration key_trust{};
     bool are_keys_trusted = true;
     // Repeats that the fleet may save up for a service; zero for no bound.
-    std::uint32_t retry_slack = 0;
+    double retry_slack = 0.0;
     bool platform_reachable = true;
     bool leaving = false;
     // A tick has been asked for because requests wait for tokens.
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -231,6 +231,7 @@
     settings.rates.data_centre = data_centre;
     settings.rates.term = node.settings.rates.term;
     settings.rates.sharing = node.settings.rates.sharing;
+    settings.rates.window = from_seconds(node.settings.rates.window_seconds);
     settings.claims.self = node.services.self;
     settings.claims.data_centre = data_centre;
     settings.claims.retention = node.settings.claims.retention;
@@ -538,6 +539,8 @@
     node->services.dialect = dialect;
     node->services.local_service = settings.service;
     node->services.path.keyless_are_calls = dialect.headers.call_handle.empty();
+    node->services.path.retries_turned_away =
+        node->services.path.keyless_are_calls;
     node->gate.gate.settings = {
         settings.upstream.trusts_slots != 0,
         settings.upstream.reserved_for_calls / 100.0};
@@ -643,7 +646,10 @@
     }
     // Callers may come until the end: a port that is closed tells them less
     // than an answer.
-    const std::size_t left = wait_for_work(node, hurry, until);
+    const time_point last_new = now() + (until - now()) * 2 / 5;
+    std::size_t left = wait_for_work(node, hurry, last_new);
+    node.services.path.refuses_new = true;
+    left = wait_for_work(node, hurry, until);
     record_lifecycle(
         node, event_kind::node_stopped, std::to_string(left) + " cut");
     stop_threads(node);
--- a/src/adapters/settings.cpp
+++ b/src/adapters/settings.cpp
@@ -181,6 +181,23 @@
             });
     }
 
+    void operator()(member_of<double> member) const
+    {
+        json::error_code error;
+        const auto number = value.to_number<double>(error);
+        const auto lowest = static_cast<double>(entry.lowest);
+        const auto highest = static_cast<double>(entry.highest);
+        if (!value.is_number() || error || number < lowest || number > highest)
+        {
+            add_finding(
+                found(), place(),
+                "must be a number from " + std::to_string(entry.lowest) +
+                    " to " + std::to_string(entry.highest));
+            return;
+        }
+        member(reader.result.settings) = number;
+    }
+
     void operator()(member_of<std::chrono::milliseconds> member) const
     {
         read_number(
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -70,6 +70,8 @@
 struct rate_settings
 {
     rate_sharing sharing = rate_sharing::by_pledge;
+    // See rates_settings.
+    double window_seconds = 0.0;
     // The longest that a request waits for a token.
     std::chrono::milliseconds longest_wait{500};
     // How long a pledge or a loan lasts.
@@ -89,7 +91,7 @@
 {
     // Repeats that the whole fleet may send to one service in
     // `retry_window`, beyond a tenth of the requests for it.
-    std::uint32_t fleet_slack = 0;
+    double fleet_slack = 0.0;
 };
 
 struct claim_settings
--- a/src/adapters/settings_reference.cpp
+++ b/src/adapters/settings_reference.cpp
@@ -27,6 +27,10 @@
     {
         return std::to_string(member(settings));
     }
+    std::string operator()(member_of<double> member) const
+    {
+        return std::to_string(static_cast<std::uint64_t>(member(settings)));
+    }
     std::string operator()(member_of<std::chrono::milliseconds> member) const
     {
         return std::to_string(member(settings).count());
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -128,6 +128,11 @@
         "/rates/sharing", CYCLAMEN_MEMBER(rates.sharing), optional, 0, 0, "",
         "How hosts divide a workspace's rate: exactly in every fault, or by "
         "demand at once and nearly."},
+    setting_entry{
+        "/rates/window_s", CYCLAMEN_MEMBER(rates.window_seconds), optional, 0,
+        3'600, "s",
+        "With sharing by demand: each span of this length may have the burst "
+        "on top of the rate; 0 where the burst is saved up."},
     setting_entry{
         "/rates/longest_wait_ms", CYCLAMEN_MEMBER(rates.longest_wait), optional,
         0, 60'000, "ms", "The longest that a request waits for a token."},
--- a/src/adapters/settings_table.hpp
+++ b/src/adapters/settings_table.hpp
@@ -22,9 +22,10 @@
 
 using setting_member = std::variant<
     member_of<std::string>, member_of<std::uint32_t>, member_of<std::uint64_t>,
-    member_of<std::chrono::milliseconds>, member_of<ip_endpoint>,
-    member_of<std::optional<ip_endpoint>>, member_of<std::vector<ip_endpoint>>,
-    member_of<log_level>, member_of<interface_kind>, member_of<rate_sharing>,
+    member_of<std::chrono::milliseconds>, member_of<double>,
+    member_of<ip_endpoint>, member_of<std::optional<ip_endpoint>>,
+    member_of<std::vector<ip_endpoint>>, member_of<log_level>,
+    member_of<interface_kind>, member_of<rate_sharing>,
     member_of<std::vector<std::string>>>;
 
 enum class setting_presence : std::uint8_t
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -79,13 +79,13 @@
 }
 
 // How long before its deadline a queued request is given up: it could not end
-// in time, and its caller's node hears that it has not run while it still waits.
+// in time, and its caller's node hears that it has not run while it still
+// waits.
 duration answer_margin(const gate_state& gate)
 {
     constexpr duration shortest = 10ms;
     constexpr duration longest = 250ms;
-    return std::clamp(
-        duration(gate.limit.mean_latency / 2), shortest, longest);
+    return std::clamp(duration(gate.limit.mean_latency / 2), shortest, longest);
 }
 
 void start_suspect(gate_state& gate, time_point now, gate_verdicts& verdicts)
--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -139,10 +139,12 @@
                       {own_demand + assumed,
                        others[id] + assumed * static_cast<double>(heard - 1),
                        heard, known});
+        const auto [per_second, at_once] = spread_burst(
+            workspace.rate, workspace.burst, step.state.settings.window);
         // A bucket below one token would never fill.
         set_own_allowance(
             step.inputs.limiter, id,
-            {share * workspace.rate, std::max(1.0, share * workspace.burst),
+            {share * per_second, std::max(1.0, share * at_once),
              time_point::max()},
             step.now);
     }
@@ -159,6 +161,19 @@
                       : side * inputs.own_demand / all;
 }
 
+spread_rate spread_burst(double rate, double burst, duration window)
+{
+    if (window <= duration::zero())
+    {
+        return {rate, burst};
+    }
+    // Both parts together are the burst of one window.
+    constexpr double steady_part = 0.65;
+    return {
+        rate + steady_part * burst / to_seconds(window),
+        (1.0 - steady_part) * burst};
+}
+
 void keep_demand_shares(rates_step& step)
 {
     demand_share_state& demand = step.state.demand;
--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -56,6 +56,16 @@
 };
 [[nodiscard]] double demand_share(const share_inputs& inputs);
 
+// Tokens a second and at most, such that no window sees more than rate x
+// window + burst.
+struct spread_rate
+{
+    double per_second = 0.0;
+    double at_once = 0.0;
+};
+[[nodiscard]] spread_rate
+spread_burst(double rate, double burst, duration window);
+
 void keep_demand_shares(rates_step& step);
 [[nodiscard]] time_point demand_due(const rates_state& state);
 
--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -97,6 +97,20 @@
     return {token_verdict::waiting, {}};
 }
 
+void give_back_token(
+    rate_limiter& limiter, workspace_id workspace, time_point now)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    const auto found = limiter.buckets.find(workspace);
+    if (found == limiter.buckets.end())
+    {
+        return;
+    }
+    token_bucket& bucket = found->second;
+    refill(bucket, now);
+    bucket.tokens = std::min(bucket.capacity, bucket.tokens + 1.0);
+}
+
 void cancel_wait(
     rate_limiter& limiter, workspace_id workspace, token_waiter waiter)
 {
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -99,6 +99,10 @@
     rate_limiter& limiter, workspace_id workspace, token_waiter waiter,
     time_point wait_until, time_point now);
 
+// A request that took a token has not run.
+void give_back_token(
+    rate_limiter& limiter, workspace_id workspace, time_point now);
+
 // A waiting request has gone.
 void cancel_wait(
     rate_limiter& limiter, workspace_id workspace, token_waiter waiter);
--- a/src/core/rates/rates.hpp
+++ b/src/core/rates/rates.hpp
@@ -42,6 +42,10 @@
 struct rates_settings
 {
     rate_sharing sharing = rate_sharing::by_pledge;
+    // With sharing by demand: a workspace may have rate x window + burst in
+    // each span of this length, so that the burst is granted anew in each.
+    // Zero where the burst only comes back from what is left of the rate.
+    duration window{};
     host_id self = host_id::none;
     data_centre_id data_centre = data_centre_id::none;
     // How long a pledge lasts.
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -261,6 +261,10 @@
     request_path& path, call_state& call, const call_request& request,
     time_point now, random_source& random)
 {
+    if (path.refuses_new)
+    {
+        return refuse(refusal::draining, outcome::not_run, return_time(random));
+    }
     const auto tables = path.tables.read();
     if (tables->revision == 0)
     {
@@ -321,6 +325,7 @@
     switch (verdict)
     {
     case token_verdict::admitted:
+        call.holds_token = true;
         return after_token(path, call, now, random);
     case token_verdict::refused:
         call.ended_aside = true;
@@ -342,6 +347,7 @@
         call.ended_aside = true;
         return refuse(refusal::rate_exceeded, outcome::not_run, 1s);
     }
+    call.holds_token = true;
     return after_token(path, call, now, random);
 }
 
@@ -392,6 +398,7 @@
     call.ended_aside = result.status == attempt_status::cancelled;
     if (result.status == attempt_status::replied)
     {
+        call.has_run = true;
         call.answered = result.http_status < first_server_error;
         call_step step;
         step.kind = call_step_kind::deliver;
@@ -399,8 +406,8 @@
         return step;
     }
     call.may_have_run = call.may_have_run || !has_not_run(result);
-    if (was_turned_away(result) && result.replayable &&
-        call.turned_away < most_turned_away)
+    if (path.retries_turned_away && was_turned_away(result) &&
+        result.replayable && call.turned_away < most_turned_away)
     {
         ++call.turned_away;
         return next_attempt(path, call, now, random);
@@ -433,6 +440,12 @@
         return;
     }
     cancel_wait(path.limiter, call.context.workspace, call.id);
+    // A lent token stays used: its lender has been told.
+    if (call.holds_token && !call.may_have_run && !call.has_run &&
+        path.keyless_are_calls)
+    {
+        give_back_token(path.limiter, call.context.workspace, now);
+    }
     if (!call.answered && call.context.digest != 0)
     {
         note_failed_request(
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -47,7 +47,12 @@
     // Upstreams make their calls without a key or a handle: requests without
     // a key are taken for calls.
     bool keyless_are_calls = false;
+    // What an upstream's node turned away goes to another upstream without a
+    // repeat being counted.
+    bool retries_turned_away = false;
     std::atomic<bool> draining{false};
+    // The planned stop is so near that new requests might be cut.
+    std::atomic<bool> refuses_new{false};
     // The clock does not count while the host is suspended: proofs from before
     // the last such moment say nothing. Nanoseconds of the clock.
     std::atomic<std::int64_t> resumed_at{0};
@@ -131,6 +136,10 @@
     // The workspace has no rate.
     bool unlimited = false;
     bool answered = false;
+    // Took a token of its workspace, which goes back when it does not run.
+    bool holds_token = false;
+    // An upstream replied.
+    bool has_run = false;
     // The caller sends again what was refused or failed before.
     bool is_resend = false;
     // Counted by the throttle, which hears of its end.
--- a/tests/adapters/settings_test.cpp
+++ b/tests/adapters/settings_test.cpp
@@ -137,6 +137,36 @@
     }
 }
 
+TEST(settings, numbers_with_fractions)
+{
+    const auto with = [](const std::string& more)
+    {
+        return replaced(whole_settings, "\"limits\"", more + ", \"limits\"");
+    };
+    {
+        SCOPED_TRACE("are read where the unit is a second or a count");
+        const auto [settings, found] = parse_settings(
+            with(R"("rates":{"window_s":2.5},"retries":{"fleet_slack":47})"));
+        ASSERT_TRUE(found.empty()) << to_string(found);
+        EXPECT_EQ(settings.rates.window_seconds, 2.5);
+        EXPECT_EQ(settings.retries.fleet_slack, 47.0);
+    }
+    {
+        SCOPED_TRACE("and refused out of range or as text");
+        EXPECT_EQ(
+            places_in(with(
+                R"("rates":{"window_s":-1},"retries":{"fleet_slack":"x"})")),
+            (std::vector<std::string>{
+                "/rates/window_s", "/retries/fleet_slack"}));
+    }
+    {
+        SCOPED_TRACE("choices are named");
+        EXPECT_EQ(
+            places_in(with(R"("interface":"odd","data_centres":[5])")),
+            (std::vector<std::string>{"/interface", "/data_centres/0"}));
+    }
+}
+
 TEST(settings, text_that_is_not_json)
 {
     {
--- a/tests/core/demand_shares_test.cpp
+++ b/tests/core/demand_shares_test.cpp
@@ -177,5 +177,49 @@
     EXPECT_LE(sum_of(fleet.run(demand, 5s)), allowed_in(5.0));
 }
 
+TEST(demand_shares, a_burst_is_granted_in_each_window)
+{
+    sharing_fleet fleet(4);
+    for (const auto& host : fleet.hosts)
+    {
+        host->rates.settings.window = 5s;
+    }
+    {
+        SCOPED_TRACE("a tenth more than the rate is served for long");
+        const std::vector<double> demand{50, 30, 20, 10};
+        fleet.run(demand, 5s);
+        EXPECT_GE(sum_of(fleet.run(demand, 20s)), 110 * 20 * 0.97);
+    }
+    {
+        SCOPED_TRACE("no window has more than the stated bound allows");
+        const std::vector<double> demand(4, 200.0);
+        for (int window = 0; window < 5; ++window)
+        {
+            EXPECT_LE(sum_of(fleet.run(demand, 5s)), allowed_in(5.0));
+        }
+    }
+}
+
+TEST(demand_shares, a_token_that_was_not_used_comes_back)
+{
+    sharing_fleet fleet(1);
+    fleet.run({0}, 3s);
+    auto& limiter = fleet.hosts[0]->limiter;
+    int taken = 0;
+    while (take_token(limiter, school, 1, fleet.now, fleet.now).verdict ==
+           token_verdict::admitted)
+    {
+        ++taken;
+    }
+    EXPECT_GE(taken, 99);
+    give_back_token(limiter, school, fleet.now);
+    EXPECT_EQ(
+        take_token(limiter, school, 1, fleet.now, fleet.now).verdict,
+        token_verdict::admitted);
+    EXPECT_EQ(
+        take_token(limiter, school, 1, fleet.now, fleet.now).verdict,
+        token_verdict::refused);
+}
+
 } // namespace
 } // namespace cyclamenhold
--- /dev/null
+++ b/tests/core/entry_test.cpp
@@ -0,0 +1,149 @@
+#include "core/request/call.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+const time_point start_time{1000s};
+constexpr const char* fleet_secret = "fleet secret of tests";
+
+// A node with one keyed and one open route to a service of one upstream.
+struct entry_node
+{
+    entry_node()
+    {
+        path.fleet_secret = fleet_secret;
+        path.keyless_are_calls = true;
+        path.retries_turned_away = true;
+        configuration current;
+        current.revision = 1;
+        current.workspaces.push_back({"school", 100.0, 100.0, true});
+        current.keys.push_back(
+            {"", "school", digest_of_secret(fleet_secret, "key"), false});
+        for (const bool open : {false, true})
+        {
+            route entry;
+            entry.name = open ? "calls" : "bookings";
+            entry.path_prefix = '/' + entry.name + '/';
+            entry.service = "shop";
+            entry.open = open;
+            entry.retry_allowance = 1;
+            current.routes.push_back(entry);
+        }
+        path.tables.publish(
+            std::make_unique<request_tables>(build_request_tables(current)));
+        std::vector<upstream_location> locations;
+        for (std::uint16_t i = 1; i <= 3; ++i)
+        {
+            locations.push_back(
+                {make_host_id(0x0a000001, i),
+                 1,
+                 data_centre_id::none,
+                 {"shop", upstream_state::serving, 10, 100, 1}});
+        }
+        path.routing.publish(std::make_unique<routing_view>(build_routing_view(
+            locations, data_centre_id::none, routing_view{})));
+    }
+
+    call_step enter(call_state& call, bool keyed, time_point now = start_time)
+    {
+        call_request request;
+        request.method = "GET";
+        request.target = keyed ? "/bookings/1" : "/calls/1";
+        if (keyed)
+        {
+            request.key = "key";
+        }
+        call.id = ++last_id;
+        return begin_call(path, call, request, now, random);
+    }
+
+    request_path path;
+    random_source random{1};
+    std::uint64_t last_id = 0;
+};
+
+TEST(entry, a_stop_is_near)
+{
+    entry_node node;
+    call_state before;
+    EXPECT_EQ(node.enter(before, true).kind, call_step_kind::attempt);
+    node.path.refuses_new = true;
+    call_state after;
+    const call_step step = node.enter(after, true);
+    EXPECT_EQ(step.kind, call_step_kind::refuse);
+    EXPECT_EQ(step.reason, refusal::draining);
+    EXPECT_EQ(http_status_of(step.reason, step.result), 503U);
+}
+
+TEST(entry, keys_need_a_proof_of_the_newest_configuration)
+{
+    entry_node node;
+    node.path.keys_valid_until = (start_time + 4s).time_since_epoch().count();
+    call_state fresh;
+    EXPECT_EQ(node.enter(fresh, true).kind, call_step_kind::attempt);
+    {
+        SCOPED_TRACE("without one keys are refused, never called unknown");
+        call_state stale;
+        const call_step step = node.enter(stale, true, start_time + 5s);
+        EXPECT_EQ(step.kind, call_step_kind::refuse);
+        EXPECT_EQ(http_status_of(step.reason, step.result), 503U);
+    }
+    {
+        SCOPED_TRACE("calls without a key go on");
+        call_state call;
+        EXPECT_EQ(
+            node.enter(call, false, start_time + 5s).kind,
+            call_step_kind::attempt);
+        EXPECT_EQ(call.context.depth, 1U);
+    }
+}
+
+TEST(entry, a_node_turns_a_request_away)
+{
+    entry_node node;
+    call_state call;
+    auto step = node.enter(call, true);
+    attempt_result away;
+    away.status = attempt_status::refused;
+    away.reason = refusal::overloaded;
+    away.result = outcome::not_run;
+    {
+        SCOPED_TRACE("others are asked, without a repeat being counted");
+        for (int i = 0; i < 2; ++i)
+        {
+            ASSERT_EQ(step.kind, call_step_kind::attempt);
+            step =
+                call_on_attempt(node.path, call, away, start_time, node.random);
+        }
+        EXPECT_EQ(call.context.retry_allowance, 1U);
+    }
+    {
+        SCOPED_TRACE("then the allowance is used, and the refusal is true");
+        while (step.kind == call_step_kind::attempt)
+        {
+            step =
+                call_on_attempt(node.path, call, away, start_time, node.random);
+        }
+        EXPECT_EQ(http_status_of(step.reason, step.result), 503U);
+        EXPECT_LE(call.attempts, 4U);
+    }
+}
+
+TEST(entry, a_promise_is_made_only_for_what_has_not_run)
+{
+    for (const auto& [reason, name] : enum_names<refusal>::table)
+    {
+        SCOPED_TRACE(std::string(name));
+        EXPECT_FALSE(is_promise(http_status_of(reason, outcome::unknown)));
+        EXPECT_FALSE(is_promise(http_status_of(reason, outcome::ran)));
+    }
+    EXPECT_EQ(
+        http_status_of(refusal::deadline_exceeded, outcome::not_run), 503U);
+}
+
+} // namespace
+} // namespace cyclamenhold
--- a/tests/core/gate_test.cpp
+++ b/tests/core/gate_test.cpp
@@ -298,13 +298,12 @@
         SCOPED_TRACE("a call of an upstream starts at once");
         auto call = make_request(++ticket, priority_class::critical);
         call.context.depth = 1;
-        EXPECT_TRUE(holds(
-            gate_offer(gate, call, start_time), ticket, refusal::none));
+        EXPECT_TRUE(
+            holds(gate_offer(gate, call, start_time), ticket, refusal::none));
     }
     {
         SCOPED_TRACE("its end gives no callers' request the room of calls");
-        (void)gate_finish(
-            gate, ticket, gate_result::replied, start_time + 5ms);
+        (void)gate_finish(gate, ticket, gate_result::replied, start_time + 5ms);
         EXPECT_EQ(gate.running_roots, roots);
     }
     {
@@ -352,8 +351,8 @@
     (void)gate_offer(
         gate, make_request(101, priority_class::normal, 1, now + 500ms), now);
     EXPECT_TRUE(gate_tick(gate, now + 380ms).empty());
-    EXPECT_TRUE(holds(
-        gate_tick(gate, now + 420ms), 101, refusal::deadline_exceeded));
+    EXPECT_TRUE(
+        holds(gate_tick(gate, now + 420ms), 101, refusal::deadline_exceeded));
 }
 
 } // namespace
