--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -42,6 +42,24 @@
     run.caller->thread.services.record(seen);
 }
 
+void record_attempt(
+    const call_run& run, host_id target, const attempt_result& result)
+{
+    constexpr unsigned first_server_error = 500;
+    event seen;
+    seen.kind = event_kind::attempt_ended;
+    seen.trace = run.state.context.trace;
+    seen.request_id = run.request_id;
+    seen.workspace = run.state.context.workspace;
+    seen.peer = target;
+    const bool replied = result.status == attempt_status::replied;
+    seen.detail = replied ? std::to_string(result.http_status)
+                          : std::string(name_of(result.reason)) + ", " +
+                                std::string(name_of(result.result));
+    seen.is_routine = replied && result.http_status < first_server_error;
+    run.caller->thread.services.record(seen);
+}
+
 // Cancels the attempt under way when the caller's connection ends. A wait that
 // outlives its request completes with the next one's first byte.
 void watch_for_hang_up(const caller_ptr& caller)
@@ -254,11 +272,7 @@
         closed = !whole && (*timed_out || run.caller->gone);
     }
     const auto result = result_of(run, closed, *timed_out);
-    record(
-        run, event_kind::attempt_ended, step.target.location.host,
-        result.status == attempt_status::replied
-            ? std::to_string(result.http_status)
-            : std::string(name_of(result.reason)));
+    record_attempt(run, step.target.location.host, result);
     co_return result;
 }
 
--- a/src/adapters/decision_log.cpp
+++ b/src/adapters/decision_log.cpp
@@ -70,7 +70,7 @@
 void log_decision(
     decision_log& decisions, const json_log& log, const event& seen)
 {
-    if (!is_logged(seen.kind))
+    if (seen.is_routine || !is_logged(seen.kind))
     {
         return;
     }
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -107,6 +107,8 @@
     std::string detail;
     // The caller's own id of the request; empty where it is not at hand.
     std::string request_id = {};
+    // Went as it should; of interest to the time line only.
+    bool is_routine = false;
 };
 
 } // namespace cyclamenhold
