--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -81,7 +81,7 @@
 
 void adopt(
     document_state& state, chain_state& chain, configuration next,
-    std::string_view text, std::string from, time_point now,
+    std::string_view text, const std::string& from, time_point now,
     control_actions& actions)
 {
     emit(
