--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -543,7 +543,8 @@
         node->services.path.keyless_are_calls;
     node->gate.gate.settings = {
         settings.upstream.trusts_slots != 0,
-        settings.upstream.reserved_for_calls / 100.0};
+        settings.upstream.reserved_for_calls / 100.0,
+        settings.upstream.trusts_slots != 0};
     node->control.retry_slack = settings.retries.fleet_slack;
     node->services.path.limiter.longest_wait = settings.rates.longest_wait;
     for (unsigned i = 0; i < settings.request_threads; ++i)
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -83,6 +83,10 @@
 // waits.
 duration answer_margin(const gate_state& gate)
 {
+    if (!gate.settings.answers_early)
+    {
+        return duration::zero();
+    }
     constexpr duration shortest = 10ms;
     constexpr duration longest = 250ms;
     return std::clamp(duration(gate.limit.mean_latency / 2), shortest, longest);
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -56,6 +56,9 @@
     // The part of the limit that roots leave to calls: upstreams that all wait
     // for calls to each other would otherwise never end.
     double reserved_for_calls = 0.0;
+    // Queued requests that could no longer end in time are given up before
+    // their deadline, so that their callers hear that they have not run.
+    bool answers_early = false;
 };
 
 struct gate_state
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -28,8 +28,12 @@
 
 // When a caller that was refused for load should come back: spread, so that
 // those who were refused together do not return together.
-duration return_time(random_source& random)
+duration return_time(const request_path& path, random_source& random)
 {
+    if (!path.keyless_are_calls)
+    {
+        return 1s;
+    }
     constexpr double earliest_seconds = 0.5;
     constexpr double spread_seconds = 1.0;
     return from_seconds(
@@ -77,7 +81,8 @@
     note_level_below(path, call, choice, now);
     if (choice.reason != refusal::none)
     {
-        return refuse(choice.reason, outcome_of(call), return_time(random));
+        return refuse(
+            choice.reason, outcome_of(call), return_time(path, random));
     }
     call.target = std::move(choice.candidate);
     call.tried.push_back(call.target.location.host);
@@ -107,14 +112,15 @@
         return call.is_throttled ? std::nullopt
                                  : std::optional(refuse(
                                        refusal::overloaded, outcome::not_run,
-                                       return_time(random)));
+                                       return_time(path, random)));
     }
     const admission_level level = level_of_route(path.levels, call.route, now);
     if (admits(level, call.context, random))
     {
         return std::nullopt;
     }
-    return refuse(refusal::overloaded, outcome::not_run, return_time(random));
+    return refuse(
+        refusal::overloaded, outcome::not_run, return_time(path, random));
 }
 
 // Counts a root request against its workspace's retry budget when it is a
@@ -263,7 +269,8 @@
 {
     if (path.refuses_new)
     {
-        return refuse(refusal::draining, outcome::not_run, return_time(random));
+        return refuse(
+            refusal::draining, outcome::not_run, return_time(path, random));
     }
     const auto tables = path.tables.read();
     if (tables->revision == 0)
@@ -420,7 +427,7 @@
     const refusal reason = result.reason == refusal::none
                                ? refusal::upstream_failed
                                : result.reason;
-    return refuse(reason, outcome_of(call), return_time(random));
+    return refuse(reason, outcome_of(call), return_time(path, random));
 }
 
 void end_call(request_path& path, call_state& call, time_point now)
--- a/tests/core/gate_test.cpp
+++ b/tests/core/gate_test.cpp
@@ -280,7 +280,7 @@
 TEST(gate, calls_find_room_beside_callers_requests)
 {
     gate_state gate;
-    gate.settings = {true, 0.25};
+    gate.settings = {true, 0.25, true};
     EXPECT_TRUE(gate_set_upstream(gate, serving(20), start_time).empty());
     EXPECT_EQ(current_limit(gate.limit, start_time), 19U);
     gate_ticket ticket = 0;
@@ -318,7 +318,7 @@
 TEST(gate, a_trusted_limit_grows_back_after_the_upstream_shed)
 {
     gate_state gate;
-    gate.settings = {true, 0.0};
+    gate.settings = {true, 0.0, true};
     (void)gate_set_upstream(gate, serving(100), start_time);
     for (gate_ticket ticket = 1; ticket <= 50; ++ticket)
     {
@@ -336,6 +336,7 @@
 TEST(gate, refuses_before_the_caller_gives_up)
 {
     gate_state gate = make_gate(1);
+    gate.settings.answers_early = true;
     // Runs of 200 ms.
     for (gate_ticket ticket = 1; ticket < 60; ++ticket)
     {
