Divide rates by what all hosts were told, so that their shares add up to one

Ruled out: depth alone (with a shallower one the new test still goes over). Change: shares go by the demand that a host last told the others; 0.6 of the overage and 0.9 of the slack go into depth, since few workspaces are large and it is the small ones that need it.

--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -92,12 +92,14 @@
     demand.next_report_at = step.now + demand_report_interval;
     wire_rates::message_data message;
     wire_rates::demand_report_data report;
+    demand.told.clear();
     for (const auto& [id, per_second] : demand.own)
     {
         // Small demands are covered by the assumed one.
         constexpr double least_reported = 0.05;
         if (per_second >= least_reported)
         {
+            demand.told[id] = per_second;
             report.rows.emplace_back(
                 static_cast<std::uint64_t>(id), static_cast<float>(per_second));
         }
@@ -143,8 +145,9 @@
     {
         const double assumed =
             assumed_demand * workspace.rate / static_cast<double>(known);
-        const auto own = demand.own.find(id);
-        const double own_demand = own == demand.own.end() ? 0.0 : own->second;
+        const auto told = demand.told.find(id);
+        const double own_demand =
+            told == demand.told.end() ? 0.0 : told->second;
         const double share =
             is_newcomer
                 ? newcomer_share
@@ -187,13 +190,15 @@
     constexpr double steady_part = 0.75;
     // The rest of the tolerance is for demand that moves between hosts before
     // all of them know.
-    constexpr double tolerance_part = 0.8;
+    constexpr double overage_part = 0.6;
+    constexpr double slack_part = 0.9;
     const double seconds = to_seconds(tolerance.window);
     const double allowed_error =
-        tolerance.overage * (rate * seconds + burst) + tolerance.slack;
+        overage_part * tolerance.overage * (rate * seconds + burst) +
+        slack_part * tolerance.slack;
     return {
         rate + steady_part * burst / seconds,
-        (1.0 - steady_part) * burst + tolerance_part * allowed_error};
+        (1.0 - steady_part) * burst + allowed_error};
 }
 
 void keep_demand_shares(rates_step& step)
--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -27,6 +27,9 @@
 struct demand_share_state
 {
     demand_by_workspace own;
+    // What the others were told last. Shares go by this, so that all hosts
+    // divide by the same figures and their shares add up to one.
+    demand_by_workspace told;
     std::map<host_id, peer_demand> peers;
     time_point started_at{};
     time_point sampled_at{};
--- a/tests/core/demand_shares_test.cpp
+++ b/tests/core/demand_shares_test.cpp
@@ -149,6 +149,29 @@
     }
 }
 
+TEST(demand_shares, a_large_workspace_sends_many_times_its_usual_at_once)
+{
+    sharing_fleet fleet(12, 250.0, 200.0);
+    for (const auto& host : fleet.hosts)
+    {
+        host->rates.settings.window = rate_window;
+        host->rates.settings.overage = thin_demand::overage;
+        host->rates.settings.slack = thin_demand::slack;
+        host->limiter.longest_wait = 200ms;
+        host->limiter.has_loans = false;
+    }
+    const std::vector<double> usual(12, 156.0 / 12.0);
+    const std::vector<double> surge(12, 7.5 * 156.0 / 12.0);
+    const double allowed =
+        (250.0 * to_seconds(rate_window) + 200.0) * 1.1 + 20.0;
+    for (int turn = 0; turn < 5; ++turn)
+    {
+        SCOPED_TRACE(turn);
+        fleet.run_random(usual, 10s);
+        EXPECT_LE(fleet.run_random(surge, 7s).most_in_window, allowed);
+    }
+}
+
 TEST(demand_shares, excess_demand_that_moves_stays_inside_the_bound)
 {
     thin_demand thin;
