Send requests where they are expected to take the least time

Ruled out: load (upstreams there were at half of their slots), the links. Change: nodes report the mean latency of their upstream with each reply; a choice compares latency times a factor for load (flat, steep above 0.9 of the limit) and for failures, and another data centre must be better by 0.7. Test: routing.upstreams_of_different_speed; the tests of locality hold.

--- a/fuzz/frame_fuzz.cpp
+++ b/fuzz/frame_fuzz.cpp
@@ -24,7 +24,7 @@
     if (const auto* const reply = frame->body_as_reply_head())
     {
         static_cast<void>(head_of(*reply));
-        static_cast<void>(load_of(reply->load()));
+        static_cast<void>(load_of(*reply));
     }
     if (const auto* const failed = frame->body_as_stream_failed())
     {
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -329,7 +329,7 @@
 {
     reply_event event;
     event.head = head_of(reply);
-    event.load = load_of(reply.load());
+    event.load = load_of(reply);
     event.returned_allowance = reply.returned_allowance();
     if (!stream->work->reply.try_send(
             boost::system::error_code(), std::move(event)))
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -297,6 +297,7 @@
     report.queued = static_cast<std::uint32_t>(
         queue_size(gate.queue) + gate.suspects.size());
     report.limit = current_limit(gate.limit, now);
+    report.latency = gate.limit.mean_latency;
     report.level = level_of(gate.admission);
     return report;
 }
--- a/src/core/routing/routing.cpp
+++ b/src/core/routing/routing.cpp
@@ -18,10 +18,15 @@
 // Of the requests that a level would refuse, one in so many goes through, to
 // learn when the upstream accepts more.
 constexpr std::uint64_t probe_interval = 50;
-// Requests leave the data centre when their upstream here has this load for
-// each request it may run, and one elsewhere at most the second share of it.
-constexpr double spill_load = 1.0;
+// Requests leave the data centre for an upstream where they are expected to
+// take at most this part of the time that they would take here.
 constexpr double spill_advantage = 0.7;
+// How much longer requests are expected to take at an upstream where all fail.
+constexpr double failure_penalty = 10.0;
+// Above this part of its limit an upstream is taken to be nearly full: beyond
+// the limit requests queue.
+constexpr double nearly_full = 0.9;
+constexpr double queueing_slope = 8.0;
 // The limit assumed of an upstream that announced nothing usable.
 constexpr double default_limit = 10.0;
 // Share of the announced slots to count on while an upstream warms up and has
@@ -31,6 +36,14 @@
 using candidate_list =
     boost::container::small_vector<const routing_candidate*, 16>;
 
+// What all candidates of one choice are judged by.
+struct choice_situation
+{
+    time_point now{};
+    // Stands for the latency of upstreams whose own is not known.
+    duration typical{};
+};
+
 std::shared_ptr<upstream_stats>
 stats_of(const upstream_location& location, const routing_view& previous)
 {
@@ -119,8 +132,40 @@
         std::remove_if(usable.begin(), usable.end(), is_dropped), usable.end());
 }
 
+// The mean of the latencies that are known, which stands for those that are
+// not; any time when none is.
+duration typical_latency(const candidate_list& candidates)
+{
+    duration sum{};
+    int known = 0;
+    for (const auto* candidate : candidates)
+    {
+        const duration latency = believed_latency(*candidate->stats);
+        sum += latency;
+        known += latency > duration::zero() ? 1 : 0;
+    }
+    return known == 0 ? duration(1ms) : sum / known;
+}
+
+// How long one more request is expected to take, in seconds. Upstreams differ
+// in speed, slow down when they are nearly full, and queue beyond that.
+double expected_time(
+    const routing_candidate& candidate, const choice_situation& situation)
+{
+    const duration believed = believed_latency(*candidate.stats);
+    const duration latency =
+        believed > duration::zero() ? believed : situation.typical;
+    const double load = relative_load(candidate, situation.now);
+    const double queueing = queueing_slope * std::max(0.0, load - nearly_full);
+    const double failures =
+        1.0 + failure_penalty * failure_share(*candidate.stats);
+    return to_seconds(latency) * (1.0 + std::pow(load, 4) + queueing) *
+           failures;
+}
+
 const routing_candidate* better_of_two(
-    const candidate_list& candidates, time_point now, random_source& random)
+    const candidate_list& candidates, const choice_situation& situation,
+    random_source& random)
 {
     const auto size = candidates.size();
     const auto first = random_below(random, size);
@@ -129,18 +174,19 @@
         return candidates[first];
     }
     const auto second = (first + 1 + random_below(random, size - 1)) % size;
-    return relative_load(*candidates[second], now) <
-                   relative_load(*candidates[first], now)
+    return expected_time(*candidates[second], situation) <
+                   expected_time(*candidates[first], situation)
                ? candidates[second]
                : candidates[first];
 }
 
-// Local upstreams first; another data centre when there are none, or when they
-// are full and one elsewhere is clearly less loaded.
+// Local upstreams first; another data centre when there are none, or when a
+// request is expected to take clearly less time there.
 const routing_candidate* pick(
     const candidate_list& candidates, data_centre_id local_data_centre,
     time_point now, random_source& random)
 {
+    const choice_situation situation{now, typical_latency(candidates)};
     candidate_list local;
     candidate_list remote;
     for (const auto* candidate : candidates)
@@ -151,17 +197,18 @@
     }
     if (local.empty())
     {
-        return better_of_two(remote, now, random);
+        return better_of_two(remote, situation, random);
     }
-    const auto* const here = better_of_two(local, now, random);
-    const double load_here = relative_load(*here, now);
-    if (remote.empty() || load_here <= spill_load)
+    const auto* const here = better_of_two(local, situation, random);
+    if (remote.empty())
     {
         return here;
     }
-    const auto* const there = better_of_two(remote, now, random);
-    return relative_load(*there, now) < load_here * spill_advantage ? there
-                                                                    : here;
+    const auto* const there = better_of_two(remote, situation, random);
+    const bool is_better_there =
+        expected_time(*there, situation) <
+        expected_time(*here, situation) * spill_advantage;
+    return is_better_there ? there : here;
 }
 
 candidate_list usable_of(
--- a/src/core/routing/upstream.hpp
+++ b/src/core/routing/upstream.hpp
@@ -4,6 +4,7 @@
 #include "core/base/ids.hpp"
 #include "core/base/names.hpp"
 #include "core/base/request_context.hpp"
+#include "core/base/time.hpp"
 
 #include <array>
 #include <cstdint>
@@ -64,6 +65,8 @@
     std::uint32_t queued = 0;
     // The gate's present concurrency limit.
     std::uint32_t limit = 0;
+    // Mean latency of what runs there, its calls included; zero when unknown.
+    duration latency{};
     admission_level level;
     // The most restrictive level that the calls below the request met.
     admission_level downstream;
--- a/src/core/routing/upstream_stats.cpp
+++ b/src/core/routing/upstream_stats.cpp
@@ -119,6 +119,13 @@
     stats.reported_load.store(
         report.in_flight + report.queued, std::memory_order_relaxed);
     stats.reported_limit.store(report.limit, std::memory_order_relaxed);
+    if (report.latency > duration::zero())
+    {
+        stats.reported_latency.store(
+            std::chrono::duration_cast<std::chrono::nanoseconds>(report.latency)
+                .count(),
+            std::memory_order_relaxed);
+    }
     stats.reported_level.store(
         open_positions(report.level), std::memory_order_relaxed);
     stats.outstanding_at_report.store(
@@ -141,6 +148,18 @@
     return std::max(outstanding, reported + outstanding - before);
 }
 
+duration believed_latency(const upstream_stats& stats)
+{
+    return std::chrono::nanoseconds(
+        stats.reported_latency.load(std::memory_order_relaxed));
+}
+
+double failure_share(const upstream_stats& stats)
+{
+    return stats.failure_share.load(std::memory_order_relaxed) /
+           double(millionths);
+}
+
 admission_level believed_level(const upstream_stats& stats, time_point now)
 {
     const std::uint32_t positions =
--- a/src/core/routing/upstream_stats.hpp
+++ b/src/core/routing/upstream_stats.hpp
@@ -20,6 +20,8 @@
     // The newest report: running plus queued, limit, admission level.
     std::atomic<std::uint32_t> reported_load{0};
     std::atomic<std::uint32_t> reported_limit{0};
+    // Nanoseconds, or 0 before the first report that tells it.
+    std::atomic<std::int64_t> reported_latency{0};
     // The open admission positions, or 0 before the first report.
     std::atomic<std::uint32_t> reported_level{0};
     // Nanoseconds of the clock when the report came.
@@ -60,6 +62,12 @@
 // what this node has sent and got back since.
 [[nodiscard]] double believed_load(const upstream_stats& stats, time_point now);
 
+// The mean latency it last reported; zero when unknown.
+[[nodiscard]] duration believed_latency(const upstream_stats& stats);
+
+// The share of the latest attempts of this node that failed there.
+[[nodiscard]] double failure_share(const upstream_stats& stats);
+
 // The admission level it last reported, fully open once the report is stale.
 [[nodiscard]] admission_level
 believed_level(const upstream_stats& stats, time_point now);
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -100,6 +100,14 @@
             load.downstream.slots};
 }
 
+std::uint32_t pack_latency(duration latency)
+{
+    const auto value =
+        std::chrono::duration_cast<std::chrono::microseconds>(latency).count();
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, most));
+}
+
 priority_class unpack_priority(std::uint8_t value)
 {
     return static_cast<priority_class>(
@@ -243,7 +251,7 @@
         out, fbb, wire::frame_body::reply_head,
         wire::Createreply_head(
             fbb, stream, head.status, headers, pack_size(head.body_size),
-            &sample, returned_allowance),
+            &sample, returned_allowance, pack_latency(load.latency)),
         clock);
 }
 
@@ -364,6 +372,13 @@
     return load;
 }
 
+load_report load_of(const wire::reply_head& reply)
+{
+    load_report load = load_of(reply.load());
+    load.latency = std::chrono::microseconds(reply.latency_us());
+    return load;
+}
+
 stream_failure failure_of(const wire::stream_failed& failed)
 {
     constexpr auto last_reason =
--- a/src/wire/frame_codec.hpp
+++ b/src/wire/frame_codec.hpp
@@ -103,6 +103,7 @@
 [[nodiscard]] request_head head_of(const wire::open_stream& open);
 [[nodiscard]] reply_head head_of(const wire::reply_head& reply);
 [[nodiscard]] load_report load_of(const wire::load_sample* sample);
+[[nodiscard]] load_report load_of(const wire::reply_head& reply);
 [[nodiscard]] stream_failure failure_of(const wire::stream_failed& failed);
 
 } // namespace cyclamenhold
--- a/tests/core/routing_test.cpp
+++ b/tests/core/routing_test.cpp
@@ -70,6 +70,53 @@
     }
 }
 
+TEST(routing, upstreams_of_different_speed)
+{
+    // Upstreams that were bought over years: the one here is the slowest.
+    auto view = view_of(
+        {location(1, here), location(2, elsewhere), location(3, elsewhere)});
+    const auto report =
+        [&](std::size_t index, duration latency, std::uint32_t in_flight)
+    {
+        load_report sample;
+        sample.limit = 100;
+        sample.in_flight = in_flight;
+        sample.latency = latency;
+        note_load_report(*candidates(view)[index].stats, sample, start_time);
+    };
+    {
+        SCOPED_TRACE("a little slower is no reason to leave the data centre");
+        report(0, 120ms, 10);
+        report(1, 100ms, 10);
+        report(2, 100ms, 10);
+        EXPECT_EQ(spread(view, start_time)[0], 1000);
+    }
+    {
+        SCOPED_TRACE("requests go where they take much less time");
+        report(0, 170ms, 10);
+        report(1, 70ms, 10);
+        report(2, 70ms, 10);
+        EXPECT_EQ(spread(view, start_time)[0], 0);
+    }
+    {
+        SCOPED_TRACE("until the fast ones are full");
+        report(1, 70ms, 98);
+        report(2, 70ms, 98);
+        EXPECT_EQ(spread(view, start_time)[0], 1000);
+    }
+    {
+        SCOPED_TRACE("one that fails fast draws no requests");
+        report(0, 100ms, 10);
+        report(1, 10ms, 10);
+        report(2, 10ms, 10);
+        for (std::size_t index = 1; index <= 2; ++index)
+        {
+            candidates(view)[index].stats->failure_share = 1'000'000;
+        }
+        EXPECT_EQ(spread(view, start_time)[0], 1000);
+    }
+}
+
 TEST(routing, outliers)
 {
     auto view =
