--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -267,7 +267,11 @@
     {
         post_control_message(node.control, from, kind, std::move(payload));
     };
-    node.services.on_peer_heard = [](host_id) {};
+    node.services.on_peer_silent = [&node](host_id peer)
+    {
+        const auto view = node.services.path.routing.read();
+        note_host_unreachable(*view, peer, now());
+    };
     node.control_side.ask_claim = [&node](const claim_question& question)
     {
         post_claim_question(node.control, question);
--- a/src/adapters/node_services.hpp
+++ b/src/adapters/node_services.hpp
@@ -32,8 +32,10 @@
 };
 
 // A peer link sends one of these each interval, and gives a link up that has
-// been silent for the timeout.
-constexpr auto heartbeat_interval = std::chrono::milliseconds(500);
+// been silent for the timeout. New requests avoid a peer sooner: it costs them
+// nothing, while those under way may still be answered.
+constexpr auto heartbeat_interval = std::chrono::milliseconds(250);
+constexpr auto heartbeat_avoidance = std::chrono::milliseconds(600);
 constexpr auto heartbeat_timeout = std::chrono::milliseconds(2'000);
 
 struct node_services
@@ -59,8 +61,8 @@
     // Hands a control message of a peer to the control thread.
     std::function<void(host_id, message_kind, std::vector<std::uint8_t>)>
         on_control_message;
-    // Any authenticated sign of life of a peer, for membership.
-    std::function<void(host_id)> on_peer_heard;
+    // The peer has been silent for longer than is usual.
+    std::function<void(host_id)> on_peer_silent;
 };
 
 } // namespace cyclamenhold
--- a/src/adapters/peer_links.hpp
+++ b/src/adapters/peer_links.hpp
@@ -13,7 +13,9 @@
 namespace cyclamenhold
 {
 
-constexpr auto peer_connect_timeout = std::chrono::milliseconds(1'000);
+// A lost first packet is sent again only after a second, so that dialling anew
+// is quicker; the handshake takes some round trips of at most 30 ms.
+constexpr auto peer_connect_timeout = std::chrono::milliseconds(500);
 constexpr auto peer_idle_timeout = std::chrono::seconds(60);
 
 struct peer_links
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -515,6 +515,10 @@
             end_link(link);
             co_return;
         }
+        if (now() - link->connection->heard_at > heartbeat_avoidance)
+        {
+            link->services.on_peer_silent(link->connection->peer);
+        }
         encode_heartbeat(link->connection->pending, ++sequence, false);
         flush(link->connection);
         link->heartbeat.expires_after(heartbeat_interval);
@@ -589,7 +593,6 @@
             record_bad_frame(*link, "a malformed or unexpected frame");
             break;
         }
-        link->services.on_peer_heard(link->connection->peer);
     }
     end_link(link);
 }
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -423,7 +423,11 @@
     note_attempt_ended(
         *call.target.stats, judged_status(result), now - call.attempt_started,
         now);
-    if (result.load)
+    if (has_not_run(result) && result.reason == refusal::no_upstream)
+    {
+        note_unreachable(*call.target.stats, now);
+    }
+    else if (result.load)
     {
         note_load_report(*call.target.stats, *result.load, now);
         note_downstream(path, call, result, now);
--- a/src/core/routing/routing.cpp
+++ b/src/core/routing/routing.cpp
@@ -211,6 +211,21 @@
     return is_better_there ? there : here;
 }
 
+// Drops those whose hosts do not answer, while others do.
+void drop_unreachable(candidate_list& usable, time_point now)
+{
+    const auto is_dropped = [now](const routing_candidate* candidate)
+    {
+        return is_unreachable(*candidate->stats, now);
+    };
+    if (!std::ranges::all_of(usable, is_dropped))
+    {
+        usable.erase(
+            std::remove_if(usable.begin(), usable.end(), is_dropped),
+            usable.end());
+    }
+}
+
 candidate_list usable_of(
     const std::vector<routing_candidate>& candidates,
     std::span<const host_id> tried, time_point now)
@@ -223,6 +238,7 @@
             usable.push_back(&candidate);
         }
     }
+    drop_unreachable(usable, now);
     drop_ejected(usable, now);
     candidate_list untried;
     for (const auto* candidate : usable)
@@ -254,6 +270,21 @@
     return view;
 }
 
+void note_host_unreachable(
+    const routing_view& view, host_id host, time_point now)
+{
+    for (const auto& [service, candidates] : view.services)
+    {
+        for (const auto& candidate : candidates)
+        {
+            if (candidate.location.host == host)
+            {
+                note_unreachable(*candidate.stats, now);
+            }
+        }
+    }
+}
+
 routing_choice choose_upstream(
     const routing_view& view, const request_context& context,
     std::span<const host_id> tried, time_point now, random_source& random)
--- a/src/core/routing/upstream_stats.cpp
+++ b/src/core/routing/upstream_stats.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint32_t ejecting_failures_in_a_row = 5;
 constexpr duration first_ejection = 2s;
 constexpr std::uint32_t max_ejection_doublings = 4;
+// About the time in which members hear of a host that returned in a new life.
+constexpr duration first_unreachable = 500ms;
+constexpr std::uint32_t max_unreachable_doublings = 2;
 constexpr duration probation_time = 5s;
 constexpr double probation_floor = 0.05;
 
@@ -113,9 +116,31 @@
     }
 }
 
+void note_unreachable(upstream_stats& stats, time_point now)
+{
+    if (is_unreachable(stats, now))
+    {
+        return;
+    }
+    const std::uint32_t earlier =
+        stats.times_unreachable.fetch_add(1, std::memory_order_relaxed);
+    const auto doublings = std::min(earlier, max_unreachable_doublings);
+    stats.unreachable_until.store(
+        nanoseconds(now + first_unreachable * (1U << doublings)),
+        std::memory_order_relaxed);
+}
+
+bool is_unreachable(const upstream_stats& stats, time_point now)
+{
+    return nanoseconds(now) <
+           stats.unreachable_until.load(std::memory_order_relaxed);
+}
+
 void note_load_report(
     upstream_stats& stats, const load_report& report, time_point now)
 {
+    stats.times_unreachable.store(0, std::memory_order_relaxed);
+    stats.unreachable_until.store(0, std::memory_order_relaxed);
     stats.reported_load.store(
         report.in_flight + report.queued, std::memory_order_relaxed);
     stats.reported_limit.store(report.limit, std::memory_order_relaxed);
--- a/src/core/routing/upstream_stats.hpp
+++ b/src/core/routing/upstream_stats.hpp
@@ -36,6 +36,11 @@
     std::atomic<std::uint32_t> ejections{0};
     // Nanoseconds of the clock: no requests until then, few for a while after.
     std::atomic<std::int64_t> ejected_until{0};
+    // Nanoseconds of the clock: its host does not answer, or not as the host
+    // that was meant; asked again after that.
+    std::atomic<std::int64_t> unreachable_until{0};
+    // Since the last sign of life.
+    std::atomic<std::uint32_t> times_unreachable{0};
 };
 
 // How an attempt at an upstream ended, as its caller's node saw it.
@@ -55,6 +60,12 @@
 void note_attempt_ended(
     upstream_stats& stats, attempt_status status, duration latency,
     time_point now);
+// The upstream's host is silent, could not be connected to, or is not in the
+// life that was meant. Requests go elsewhere for a while, twice as long each
+// time until it answers.
+void note_unreachable(upstream_stats& stats, time_point now);
+[[nodiscard]] bool is_unreachable(const upstream_stats& stats, time_point now);
+
 void note_load_report(
     upstream_stats& stats, const load_report& report, time_point now);
 
