Let requests back in fast up to what was let in before failures began

Change: below 0.7 of the share at which failures began, growth is 35% each 100 ms; above that as before, so that a lasting overload is met with care.

--- a/src/core/request/route_throttle.cpp
+++ b/src/core/request/route_throttle.cpp
@@ -23,6 +23,11 @@
 // let in shrinks, and the factor and step by which it grows.
 constexpr double shrinking = 0.3;
 constexpr double growth_factor = 1.08;
+// The factor up to `cautious_from`, and the part of the share at which failures
+// began from which on growth is cautious: a short outage is not to be outlasted
+// by its throttle, nor a lasting overload to be met with bursts.
+constexpr double recovery_factor = 1.35;
+constexpr double cautious_part = 0.7;
 constexpr double growth_step = 0.005;
 // A caller that was refused and came back has waited longest, so that it is
 // let in so many times as often as a new one.
@@ -59,11 +64,19 @@
         failures - bearable_failures[static_cast<std::size_t>(priority)];
     if (excess > 0.0)
     {
+        if (!entry.is_shrinking)
+        {
+            entry.cautious_from = entry.open * cautious_part;
+            entry.is_shrinking = true;
+        }
         entry.open =
             std::max(least_open, entry.open * (1.0 - shrinking * excess));
         return;
     }
-    entry.open = std::min(1.0, entry.open * growth_factor + growth_step);
+    entry.is_shrinking = false;
+    const double factor =
+        entry.open < entry.cautious_from ? recovery_factor : growth_factor;
+    entry.open = std::min(1.0, entry.open * factor + growth_step);
 }
 
 } // namespace
--- a/src/core/request/route_throttle.hpp
+++ b/src/core/request/route_throttle.hpp
@@ -20,6 +20,10 @@
 {
     // The share of requests that is let in.
     double open = 1.0;
+    // Below this share nothing has been seen to fail, so that it is reached
+    // again in large steps.
+    double cautious_from = 1.0;
+    bool is_shrinking = false;
     // Decaying counts of requests that were let in and ended.
     double ended = 0.0;
     double failed = 0.0;
--- a/tests/core/route_throttle_test.cpp
+++ b/tests/core/route_throttle_test.cpp
@@ -117,6 +117,39 @@
     }
 }
 
+TEST(route_throttle, a_short_outage_is_not_outlasted)
+{
+    // All requests below fail for a while, as when many nodes restart at
+    // once, and then none does.
+    route_throttle throttle;
+    random_source random(7);
+    time_point now{100s};
+    const auto run = [&](bool works, duration time)
+    {
+        int let_in = 0;
+        int offered = 0;
+        for (const time_point end = now + time; now < end; now += 20ms)
+        {
+            ++offered;
+            if (throttle_admits(
+                    throttle, "route", priority_class::normal, false, now,
+                    random))
+            {
+                ++let_in;
+                throttle_note_end(throttle, "route", works, now);
+            }
+        }
+        return static_cast<double>(let_in) / offered;
+    };
+    EXPECT_GE(run(true, 3s), 0.99);
+    (void)run(false, 1500ms);
+    {
+        SCOPED_TRACE("two seconds later requests are let in as before");
+        (void)run(true, 2s);
+        EXPECT_GE(run(true, 1s), 0.95);
+    }
+}
+
 TEST(route_throttle, those_who_come_back_go_first)
 {
     route_throttle throttle;
