--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -1,6 +1,7 @@
 #include "adapters/local_gate.hpp"
 
 #include "adapters/clock.hpp"
+#include "adapters/http_fields.hpp"
 #include "adapters/upstream_client.hpp"
 
 #include <absl/strings/str_format.h>
@@ -11,13 +12,14 @@
 {
 
 void record(
-    local_gate& gate, event_kind kind, const request_context& context,
-    std::string detail)
+    local_gate& gate, event_kind kind, const exchange& work, std::string detail)
 {
     event seen;
     seen.kind = kind;
-    seen.trace = context.trace;
-    seen.workspace = context.workspace;
+    seen.trace = work.context.trace;
+    seen.workspace = work.context.workspace;
+    seen.request_id = field_value(
+        work.head.headers, gate.services.dialect.headers.request_id);
     seen.detail = std::move(detail);
     gate.services.record(seen);
 }
@@ -100,7 +102,7 @@
 void start(local_gate& gate, const exchange_ptr& work, gate_ticket ticket)
 {
     ++gate.running;
-    record(gate, event_kind::gate_started, work->context, {});
+    record(gate, event_kind::gate_started, *work, {});
     auto connection = take_connection(gate.pool, work->body.get_executor());
     const auto executor = connection->stream.get_executor();
     asio::co_spawn(
@@ -112,7 +114,7 @@
 {
     const load_report load = report_of(gate);
     record(
-        gate, event_kind::gate_refused, work->context,
+        gate, event_kind::gate_refused, *work,
         absl::StrFormat(
             "%s; %d running of %d, %d queued, %d ms left", name_of(reason),
             load.in_flight, load.limit, load.queued,
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -4,6 +4,7 @@
 #include "adapters/decision_log.hpp"
 #include "core/events/event_json.hpp"
 
+#include <absl/strings/str_format.h>
 #include <boost/json.hpp>
 
 #include <future>
@@ -270,7 +271,17 @@
     node.services.on_peer_silent = [&node](host_id peer)
     {
         const auto view = node.services.path.routing.read();
-        note_host_unreachable(*view, peer, now());
+        if (!note_host_unreachable(*view, peer, now()))
+        {
+            return;
+        }
+        event seen;
+        seen.kind = event_kind::peer_silent;
+        seen.peer = peer;
+        seen.detail = absl::StrFormat(
+            "no beat for %d ms: new requests go elsewhere",
+            heartbeat_avoidance.count());
+        node.services.record(seen);
     };
     node.control_side.ask_claim = [&node](const claim_question& question)
     {
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -511,6 +511,7 @@
             event seen;
             seen.kind = event_kind::peer_silent;
             seen.peer = link->connection->peer;
+            seen.detail = "the link is given up";
             link->services.record(seen);
             end_link(link);
             co_return;
--- a/src/core/routing/routing.cpp
+++ b/src/core/routing/routing.cpp
@@ -270,19 +270,21 @@
     return view;
 }
 
-void note_host_unreachable(
+bool note_host_unreachable(
     const routing_view& view, host_id host, time_point now)
 {
+    bool is_new = false;
     for (const auto& [service, candidates] : view.services)
     {
         for (const auto& candidate : candidates)
         {
             if (candidate.location.host == host)
             {
-                note_unreachable(*candidate.stats, now);
+                is_new = note_unreachable(*candidate.stats, now) || is_new;
             }
         }
     }
+    return is_new;
 }
 
 routing_choice choose_upstream(
--- a/src/core/routing/routing.hpp
+++ b/src/core/routing/routing.hpp
@@ -34,8 +34,9 @@
     std::span<const upstream_location> locations,
     data_centre_id local_data_centre, const routing_view& previous);
 
-// Notes that the host does not answer, for all upstreams there.
-void note_host_unreachable(
+// Notes that the host does not answer, for all upstreams there. False when that
+// was known of all of them.
+bool note_host_unreachable(
     const routing_view& view, host_id host, time_point now);
 
 struct routing_choice
--- a/src/core/routing/upstream_stats.cpp
+++ b/src/core/routing/upstream_stats.cpp
@@ -116,11 +116,11 @@
     }
 }
 
-void note_unreachable(upstream_stats& stats, time_point now)
+bool note_unreachable(upstream_stats& stats, time_point now)
 {
     if (is_unreachable(stats, now))
     {
-        return;
+        return false;
     }
     const std::uint32_t earlier =
         stats.times_unreachable.fetch_add(1, std::memory_order_relaxed);
@@ -128,6 +128,7 @@
     stats.unreachable_until.store(
         nanoseconds(now + first_unreachable * (1U << doublings)),
         std::memory_order_relaxed);
+    return true;
 }
 
 bool is_unreachable(const upstream_stats& stats, time_point now)
--- a/src/core/routing/upstream_stats.hpp
+++ b/src/core/routing/upstream_stats.hpp
@@ -62,8 +62,8 @@
     time_point now);
 // The upstream's host is silent, could not be connected to, or is not in the
 // life that was meant. Requests go elsewhere for a while, twice as long each
-// time until it answers.
-void note_unreachable(upstream_stats& stats, time_point now);
+// time until it answers. False when they did already.
+bool note_unreachable(upstream_stats& stats, time_point now);
 [[nodiscard]] bool is_unreachable(const upstream_stats& stats, time_point now);
 
 void note_load_report(
--- a/tests/core/routing_test.cpp
+++ b/tests/core/routing_test.cpp
@@ -151,7 +151,9 @@
     // wait for a connection, one after the other.
     auto view = view_of(
         {location(1, here), location(2, elsewhere), location(3, elsewhere)});
-    note_host_unreachable(view, make_host_id(0x0a000001, 1), start_time);
+    const auto cut = make_host_id(0x0a000001, 1);
+    EXPECT_TRUE(note_host_unreachable(view, cut, start_time));
+    EXPECT_FALSE(note_host_unreachable(view, cut, start_time));
     EXPECT_EQ(spread(view, start_time)[0], 0);
     {
         SCOPED_TRACE("it is asked again after a while");
@@ -160,14 +162,14 @@
     {
         SCOPED_TRACE("and left alone for longer when it still does not answer");
         const auto again = start_time + 600ms;
-        note_host_unreachable(view, make_host_id(0x0a000001, 1), again);
+        EXPECT_TRUE(note_host_unreachable(view, cut, again));
         EXPECT_EQ(spread(view, again + 900ms)[0], 0);
         EXPECT_EQ(spread(view, again + 1100ms)[0], 1000);
     }
     {
         SCOPED_TRACE("any answer ends that");
         const auto later = start_time + 5s;
-        note_host_unreachable(view, make_host_id(0x0a000001, 1), later);
+        EXPECT_TRUE(note_host_unreachable(view, cut, later));
         load_report report;
         report.limit = 100;
         note_load_report(*candidates(view)[0].stats, report, later);
@@ -177,8 +179,8 @@
         SCOPED_TRACE("when none answers, all are tried");
         for (std::uint16_t number = 1; number <= 3; ++number)
         {
-            note_host_unreachable(
-                view, make_host_id(0x0a000001, number), start_time + 9s);
+            EXPECT_TRUE(note_host_unreachable(
+                view, make_host_id(0x0a000001, number), start_time + 9s));
         }
         EXPECT_EQ(spread(view, start_time + 9s)[0], 1000);
     }
