Take a frame that names a body and carries none for malformed

The verifier of FlatBuffers accepts that; has_required_parts then read through a null pointer. A faulty peer with the fleet's secret could end a node with it. Change: such a frame is malformed. Test: frame_codec.a_type_without_its_body_is_malformed, which ended with a segmentation fault before and passes now; the input joins the corpus.

--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -121,6 +121,11 @@
 
 bool has_required_parts(const wire::frame& frame)
 {
+    // A valid buffer may name a body and leave it out.
+    if (frame.body() == nullptr)
+    {
+        return false;
+    }
     switch (frame.body_type())
     {
     case wire::frame_body::NONE:
