--- a/tests/platform/operator_document_test.cpp
+++ b/tests/platform/operator_document_test.cpp
@@ -101,6 +101,21 @@
     }
 }
 
+// A document whose downloads were unknown to the reader was rejected as a
+// whole, and no node of the fleet had a configuration.
+TEST(operator_document, downloads_may_be_repeated)
+{
+    const auto read = read_document(
+        R"({"version":"00000002","resources":[
+{"type":"routes","metadata":{"name":"plans"},"spec":{"hostname":"a.example",
+ "prefix":"/x/","kind":"download","service":"drawings","maxAttempts":3}}]})",
+        secret);
+    ASSERT_TRUE(read.ok()) << read.status();
+    ASSERT_EQ(read->routes.size(), 1U);
+    EXPECT_FALSE(read->routes[0].never_repeat);
+    EXPECT_EQ(read->routes[0].retry_allowance, 2U);
+}
+
 TEST(operator_document, truncated_document_is_rejected)
 {
     for (const std::size_t size : {0, 1, 40, 400})
