Apply documents with unreadable entries and refuse what depends on them

Cause: one value that a node does not know rejected the operators' whole document: a fleet that starts then serves nothing, and one that runs keeps keys that the new version withdraws. Change: findings are kept with the configuration. The log has one bounded line a version, configuration-incomplete.

--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -79,6 +79,16 @@
     state.call_expires_at += call.wait;
 }
 
+// The first findings, and how many there are.
+std::string summary_of(const findings& found)
+{
+    constexpr std::size_t max_listed = 8;
+    const std::size_t listed = std::min(found.size(), max_listed);
+    return std::to_string(found.size()) + " findings; " +
+           to_string(findings(
+               found.begin(), found.begin() + static_cast<int>(listed)));
+}
+
 void set_current(
     document_state& state, chain_state& chain, configuration next,
     std::string_view text, const std::string& from, time_point now,
@@ -90,6 +100,13 @@
             std::to_string(chain.current->revision) + " from " + from + ", " +
             std::to_string(next.routes.size()) + " routes, " +
             std::to_string(next.workspaces.size()) + " workspaces");
+    if (!next.unreadable.empty())
+    {
+        emit(
+            actions, event_kind::configuration_incomplete,
+            "version " + std::to_string(next.revision) + ": " +
+                summary_of(next.unreadable));
+    }
     state.text = text;
     if (next.data_centres.empty())
     {
--- a/src/core/configuration/model.hpp
+++ b/src/core/configuration/model.hpp
@@ -1,6 +1,7 @@
 // The operators' configuration at one revision.
 #pragma once
 
+#include "core/base/findings.hpp"
 #include "core/base/ids.hpp"
 #include "core/base/outcome.hpp"
 #include "core/base/time.hpp"
@@ -25,6 +26,9 @@
     bool unlimited = false;
     // Overrides the priority of the routes.
     std::optional<priority_class> priority = std::nullopt;
+    // The rate could not be read. Requests with this workspace's keys are
+    // refused.
+    bool is_unreadable = false;
     bool operator==(const workspace&) const = default;
 };
 
@@ -70,6 +74,10 @@
     bool never_repeat = false;
     std::uint16_t retry_allowance = 2;
     std::chrono::milliseconds deadline{5000};
+    // The service or the need for a key could not be read, or the prefix, which
+    // is empty then. Requests that match are refused. Without a prefix, all
+    // requests of the route's host are.
+    bool is_unreadable = false;
     bool operator==(const route&) const = default;
 };
 
@@ -114,6 +122,14 @@
     std::vector<data_centre> data_centres;
     std::vector<service_settings> services;
     caller_limits limits;
+    // What this node could not read of the operators' document, with places.
+    findings unreadable;
+    // The document has keys that could not be read, so an unknown key may be
+    // valid.
+    bool has_unreadable_keys = false;
+    // The document has entries that could not be read and may be routes, so a
+    // request without a route may have one.
+    bool has_unplaced_entries = false;
     bool operator==(const configuration&) const = default;
 };
 
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -281,6 +281,21 @@
     return time_since_keys_expired(path, now) < duration::zero();
 }
 
+// Refuses a request that the document may allow in a part that this node could
+// not read. 401 and 404 would be final answers to requests that may be proper.
+call_step refuse_unreadable(const request_tables& tables, std::string_view what)
+{
+    return refuse(
+        refusal::not_configured, outcome::not_run, 1s,
+        version_inputs(tables) + ", unreadable: " + std::string(what));
+}
+
+bool has_unreadable_rate(const request_tables& tables, workspace_id workspace)
+{
+    const auto found = tables.workspaces.find(workspace);
+    return found != tables.workspaces.end() && found->second.is_unreadable;
+}
+
 } // namespace
 
 call_step begin_call(
@@ -301,8 +316,15 @@
         find_route(*tables, request.host, request.method, request.target);
     if (route == nullptr)
     {
-        return refuse(
-            refusal::no_route, outcome::not_run, {}, version_inputs(*tables));
+        return tables->has_unplaced_entries
+                   ? refuse_unreadable(*tables, "an entry of the document")
+                   : refuse(
+                         refusal::no_route, outcome::not_run, {},
+                         version_inputs(*tables));
+    }
+    if (route->settings.is_unreadable)
+    {
+        return refuse_unreadable(*tables, "route " + route->settings.name);
     }
     if (request.key && !route->settings.open && !are_keys_fresh(path, now))
     {
@@ -322,9 +344,15 @@
     if (workspace == workspace_id::none && !route->settings.open &&
         !request.parent)
     {
-        return refuse(
-            refusal::unauthenticated, outcome::not_run, {},
-            version_inputs(*tables));
+        return request.key && tables->has_unreadable_keys
+                   ? refuse_unreadable(*tables, "a key of the document")
+                   : refuse(
+                         refusal::unauthenticated, outcome::not_run, {},
+                         version_inputs(*tables));
+    }
+    if (has_unreadable_rate(*tables, workspace))
+    {
+        return refuse_unreadable(*tables, "the rate of the workspace");
     }
     fill_context(path, call, request, *route, workspace, now, random);
     apply_workspace(*tables, call);
--- a/src/core/request/request_tables.cpp
+++ b/src/core/request/request_tables.cpp
@@ -62,6 +62,23 @@
         });
 }
 
+// A route without a readable prefix may be longer than any other prefix of its
+// host, so that no request of the host certainly belongs to another route.
+void refuse_unplaced_routes(std::vector<route_entry>& routes)
+{
+    const bool has_unplaced = std::ranges::any_of(
+        routes,
+        [](const route_entry& entry)
+        {
+            return entry.settings.is_unreadable &&
+                   entry.settings.path_prefix.empty();
+        });
+    for (auto& entry : routes)
+    {
+        entry.settings.is_unreadable |= has_unplaced;
+    }
+}
+
 std::string text_of(const key_digest& digest)
 {
     return {reinterpret_cast<const char*>(digest.data()), digest.size()};
@@ -108,6 +125,8 @@
     request_tables tables;
     tables.revision = current.revision;
     tables.limits = current.limits;
+    tables.has_unreadable_keys = current.has_unreadable_keys;
+    tables.has_unplaced_entries = current.has_unplaced_entries;
     for (const auto& route : current.routes)
     {
         tables.routes[route.host].push_back(entry_of(route));
@@ -115,6 +134,7 @@
     for (auto& [host, routes] : tables.routes)
     {
         sort_by_prefix(routes);
+        refuse_unplaced_routes(routes);
     }
     for (const auto& key : current.keys)
     {
--- a/src/core/request/request_tables.hpp
+++ b/src/core/request/request_tables.hpp
@@ -41,6 +41,9 @@
     std::unordered_map<std::string, key_entry> opaque_keys;
     std::unordered_map<workspace_id, workspace> workspaces;
     caller_limits limits;
+    // See `configuration`.
+    bool has_unreadable_keys = false;
+    bool has_unplaced_entries = false;
 };
 
 [[nodiscard]] request_tables build_request_tables(const configuration& current);
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -36,6 +36,7 @@
     member_left,
     configuration_applied,
     configuration_rejected,
+    configuration_incomplete,
     key_withdrawn,
     steward_changed,
     loan_granted,
@@ -55,7 +56,7 @@
 template <>
 struct enum_names<event_kind>
 {
-    static constexpr std::array<std::pair<event_kind, std::string_view>, 36>
+    static constexpr std::array<std::pair<event_kind, std::string_view>, 37>
         table{
             {{event_kind::node_started, "node-started"},
              {event_kind::node_stopping, "node-stopping"},
@@ -79,6 +80,7 @@
              {event_kind::member_left, "member-left"},
              {event_kind::configuration_applied, "configuration-applied"},
              {event_kind::configuration_rejected, "configuration-rejected"},
+             {event_kind::configuration_incomplete, "configuration-incomplete"},
              {event_kind::key_withdrawn, "key-withdrawn"},
              {event_kind::steward_changed, "steward-changed"},
              {event_kind::loan_granted, "loan-granted"},
--- a/tests/core/document_source_test.cpp
+++ b/tests/core/document_source_test.cpp
@@ -2,12 +2,16 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <sstream>
+
 namespace cyclamenhold
 {
 namespace
 {
 
-// Parses "version VERSION"; anything else is an error.
+// Parses "version VERSION", or "version VERSION FINDINGS" for a document with
+// this number of findings; anything else is an error.
 absl::StatusOr<configuration>
 read_version(std::string_view text, std::string_view /*fleet_secret*/)
 {
@@ -17,7 +21,13 @@
         return absl::InvalidArgumentError("no version");
     }
     configuration read;
-    read.revision = std::stoull(std::string(text.substr(prefix.size())));
+    std::istringstream numbers{std::string(text.substr(prefix.size()))};
+    std::size_t found = 0;
+    numbers >> read.revision >> found;
+    for (std::size_t i = 0; i < found; ++i)
+    {
+        add_finding(read.unreadable, "/" + std::to_string(i), "is odd");
+    }
     return read;
 }
 
@@ -117,6 +127,39 @@
     }
 }
 
+// A newer version is applied though parts of it are unreadable, because it may
+// withdraw keys. The log names the places, in one bounded line.
+TEST(document_source, incomplete_version_is_applied_and_reported)
+{
+    document_fixture node;
+    node.answer(
+        *node.next_call(), platform_status::ok,
+        {{"document", "version 7 912", 40}}, 41);
+    EXPECT_EQ(node.chain.current->revision, 7U);
+    const auto reported = std::ranges::find(
+        node.actions.events, event_kind::configuration_incomplete,
+        &event::kind);
+    ASSERT_NE(reported, node.actions.events.end());
+    EXPECT_NE(
+        reported->detail.find("version 7: 912 findings"), std::string::npos)
+        << reported->detail;
+    EXPECT_NE(reported->detail.find("/0: is odd"), std::string::npos);
+    EXPECT_LT(reported->detail.size(), 1'000U);
+    {
+        SCOPED_TRACE("it holds until a whole version replaces it");
+        node.actions.events.clear();
+        node.answer(
+            *node.next_call(), platform_status::ok,
+            {{"document", "version 8", 42}}, 43);
+        EXPECT_TRUE(node.chain.current->unreadable.empty());
+        EXPECT_EQ(
+            std::ranges::count(
+                node.actions.events, event_kind::configuration_incomplete,
+                &event::kind),
+            0);
+    }
+}
+
 // The time of the last confirmation must not be later than the platform's
 // answer proves, or stale keys would be accepted for too long.
 TEST(document_source, confirmation_times_of_the_newest_version)
--- a/tests/core/entry_test.cpp
+++ b/tests/core/entry_test.cpp
@@ -10,29 +10,35 @@
 const time_point start_time{1000s};
 constexpr const char* fleet_secret = "fleet secret of tests";
 
-// A node with one keyed and one open route to a service of three upstreams.
+// One keyed and one open route to a service, and one workspace.
+configuration whole_configuration()
+{
+    configuration current;
+    current.revision = 1;
+    current.workspaces.push_back({"school", 100.0, 100.0, true});
+    current.keys.push_back(
+        {"", "school", digest_of_secret(fleet_secret, "key"), false});
+    for (const bool open : {false, true})
+    {
+        route entry;
+        entry.name = open ? "calls" : "bookings";
+        entry.path_prefix = '/' + entry.name + '/';
+        entry.service = "shop";
+        entry.open = open;
+        entry.retry_allowance = 1;
+        current.routes.push_back(entry);
+    }
+    return current;
+}
+
+// A node with a service of three upstreams.
 struct entry_node
 {
-    entry_node()
+    explicit entry_node(const configuration& current = whole_configuration())
     {
         path.fleet_secret = fleet_secret;
         path.treats_keyless_as_calls = true;
         path.retries_node_refusals = true;
-        configuration current;
-        current.revision = 1;
-        current.workspaces.push_back({"school", 100.0, 100.0, true});
-        current.keys.push_back(
-            {"", "school", digest_of_secret(fleet_secret, "key"), false});
-        for (const bool open : {false, true})
-        {
-            route entry;
-            entry.name = open ? "calls" : "bookings";
-            entry.path_prefix = '/' + entry.name + '/';
-            entry.service = "shop";
-            entry.open = open;
-            entry.retry_allowance = 1;
-            current.routes.push_back(entry);
-        }
         path.tables.publish(
             std::make_unique<request_tables>(build_request_tables(current)));
         std::vector<upstream_location> locations;
@@ -49,14 +55,20 @@
     }
 
     call_step enter(call_state& call, bool keyed, time_point now = start_time)
+    {
+        return enter(
+            call, keyed ? "/bookings/1" : "/calls/1",
+            keyed ? std::optional<std::string>("key") : std::nullopt, now);
+    }
+
+    call_step enter(
+        call_state& call, std::string target, std::optional<std::string> key,
+        time_point now = start_time)
     {
         call_request request;
         request.method = "GET";
-        request.target = keyed ? "/bookings/1" : "/calls/1";
-        if (keyed)
-        {
-            request.key = "key";
-        }
+        request.target = std::move(target);
+        request.key = std::move(key);
         call.id = ++last_id;
         return begin_call(path, call, request, now, random);
     }
@@ -134,6 +146,85 @@
     }
 }
 
+// The HTTP status of the first step; 0 if the request is sent to an upstream.
+unsigned status_of(
+    entry_node& node, const std::string& target,
+    const std::optional<std::string>& key)
+{
+    call_state call;
+    const call_step step = node.enter(call, target, key);
+    return step.kind == call_step_kind::attempt
+               ? 0
+               : http_status_of(step.reason, step.result);
+}
+
+// A part of the document that this node cannot read neither opens a route nor
+// turns a proper request away for good, and the rest is served.
+TEST(entry, unreadable_parts_of_a_document)
+{
+    {
+        SCOPED_TRACE("requests of an unreadable route are refused");
+        configuration current = whole_configuration();
+        current.routes[0].is_unreadable = true;
+        entry_node node(current);
+        EXPECT_EQ(status_of(node, "/bookings/1", "key"), 503U);
+        EXPECT_EQ(status_of(node, "/calls/1", std::nullopt), 0U);
+    }
+    {
+        SCOPED_TRACE("a shorter prefix does not serve them instead");
+        configuration current = whole_configuration();
+        current.routes[1].path_prefix = "/";
+        current.routes[0].is_unreadable = true;
+        entry_node node(current);
+        EXPECT_EQ(status_of(node, "/bookings/1", "key"), 503U);
+        EXPECT_EQ(status_of(node, "/other", std::nullopt), 0U);
+    }
+    {
+        SCOPED_TRACE("an unknown prefix may be any of its host's");
+        configuration current = whole_configuration();
+        current.routes[0].host = "a.example";
+        current.routes.push_back(current.routes[0]);
+        current.routes.back().path_prefix.clear();
+        current.routes.back().is_unreadable = true;
+        const auto tables = build_request_tables(current);
+        for (const char* path : {"/bookings/1", "/other"})
+        {
+            const auto* const found =
+                find_route(tables, "a.example", "GET", path);
+            ASSERT_NE(found, nullptr) << path;
+            EXPECT_TRUE(found->settings.is_unreadable) << path;
+        }
+        const auto* const other = find_route(tables, "b", "GET", "/calls/1");
+        ASSERT_NE(other, nullptr);
+        EXPECT_FALSE(other->settings.is_unreadable);
+    }
+    {
+        SCOPED_TRACE("requests that may belong to an unreadable entry get 503");
+        configuration current = whole_configuration();
+        current.has_unplaced_entries = true;
+        current.has_unreadable_keys = true;
+        entry_node node(current);
+        EXPECT_EQ(status_of(node, "/other/1", "key"), 503U);
+        EXPECT_EQ(status_of(node, "/bookings/1", "other"), 503U);
+        EXPECT_EQ(status_of(node, "/bookings/1", std::nullopt), 401U);
+        EXPECT_EQ(status_of(node, "/bookings/1", "key"), 0U);
+    }
+    {
+        SCOPED_TRACE("a workspace whose rate is unreadable is not unlimited");
+        configuration current = whole_configuration();
+        current.workspaces[0].is_unreadable = true;
+        entry_node node(current);
+        EXPECT_EQ(status_of(node, "/bookings/1", "key"), 503U);
+        EXPECT_EQ(status_of(node, "/calls/1", std::nullopt), 0U);
+    }
+    {
+        SCOPED_TRACE("a whole document answers 404 and 401");
+        entry_node node;
+        EXPECT_EQ(status_of(node, "/other/1", "key"), 404U);
+        EXPECT_EQ(status_of(node, "/bookings/1", "other"), 401U);
+    }
+}
+
 TEST(entry, reports_not_run_only_for_requests_that_did_not_run)
 {
     for (const auto& [reason, name] : enum_names<refusal>::table)
