--- a/tests/process/fleet_processes.hpp
+++ b/tests/process/fleet_processes.hpp
@@ -103,6 +103,16 @@
         ::kill(id_, number);
     }
 
+    // Resident memory, from /proc.
+    [[nodiscard]] std::size_t resident_bytes() const
+    {
+        std::size_t total = 0;
+        std::size_t resident = 0;
+        std::ifstream("/proc/" + std::to_string(id_) + "/statm") >> total >>
+            resident;
+        return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+    }
+
     // Waits for the process to exit. Returns the exit code, or the negated
     // number of the signal that ended it.
     int wait()
