Hold the rates of workspaces in one token pool a data centre

Cause: with shares by demand each host has its own part of each rate. Callers who are spread thin over n hosts find a bucket of at most one token: 23% of the callers of a workspace with 8 requests a second and 62% of its rate were refused at 12 hosts, 39% at 96, 71% at 300; 26% and 34% at 30 requests a second. The sum of these single tokens also exceeds the tolerance: 77 of 73 admitted in a window at 96 hosts, 273 of 218 at 300 in a surge. Change: one host in each data centre and shard, by rendezvous hash, holds the pool in its own bucket; others request tokens for callers who wait and for those expected soon. Only pool hosts report demand, to those of the same shard. A reply without tokens says when to expect some, and callers who can't be served in time are refused at once. Tokens end 1 s after their request, shares 3 s after they were set, by the clock of their user. The second host by rendezvous hash replaces a pool that is silent or stopping; a host without a pool admits half of its 1/n, after 3 s all of it. Tests: token_pools.* (thin callers, surges, a pool host down, hosts cut off, moving demand, messages); the harness gained data centres, hosts that are down, replies, and suspicion 1 s after a host is lost, since shares in a partition now follow membership and reports of pool hosts, no longer reports of all hosts. All demand_shares tests pass unchanged.

--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -1,9 +1,11 @@
 #include "core/rates/demand_shares.hpp"
 
+#include "core/rates/demand_reports.hpp"
 #include "core/rates/rates_context.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace cyclamenhold
 {
@@ -20,9 +22,9 @@
 // about a quarter.
 constexpr double averaged_arrivals = 16.0;
 constexpr duration sample_interval = 100ms;
-// Demand assumed at every host, as a fraction of the rate divided by the number
-// of hosts, so that a host without recent callers can serve the next one at
-// once.
+// Demand assumed in each data centre, as a fraction of the rate, by its part of
+// all hosts, so that a data centre without recent callers can serve the next
+// one at once.
 constexpr double assumed_demand = 0.15;
 
 // Seconds, for a demand in requests a second.
@@ -36,138 +38,132 @@
 void sample_own_demand(rates_context& context)
 {
     demand_share_state& demand = context.state.demand;
+    auto& arrivals = context.state.pools.pool_arrivals;
     const double elapsed = to_seconds(context.now - demand.sampled_at);
     demand.sampled_at = context.now;
-    for (const auto& [id, workspace] : context.state.workspaces)
-    {
-        const double arrivals =
-            sample_demand(context.inputs.limiter, id, context.now).arrivals;
-        double& own_demand = demand.own[id];
-        const double decay = std::exp(-elapsed / averaging_time(own_demand));
-        own_demand = decay * own_demand +
-                     (1.0 - decay) * arrivals / std::max(elapsed, 1e-3);
-    }
     std::erase_if(
         demand.own,
         [&context](const auto& entry)
         {
-            return !context.state.workspaces.contains(entry.first);
+            return !context.state.workspaces.contains(entry.first) ||
+                   !holds_pool(context, shard_of(entry.first));
         });
-}
-
-// Other hosts that may be serving callers, with or without a recent report.
-std::size_t count_other_hosts(const rates_context& context)
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        context.inputs.members.members,
-        [&context](const auto& entry)
-        {
-            const member& peer = entry.second;
-            const bool is_recent =
-                context.now - peer.changed_at < dead_host_timeout;
-            return peer.state == member_state::alive ||
-                   peer.state == member_state::suspect ||
-                   (peer.state == member_state::dead && is_recent);
-        }));
-}
-
-void drop_departed_peers(rates_context& context)
-{
-    const auto& members = context.inputs.members.members;
-    std::erase_if(
-        context.state.demand.peers,
-        [&members](const auto& entry)
+    for (const auto& [id, workspace] : context.state.workspaces)
+    {
+        if (!holds_pool(context, shard_of(id)))
         {
-            const auto found = members.find(entry.first);
-            return found == members.end() ||
-                   found->second.state == member_state::left;
-        });
+            continue;
+        }
+        double& own_demand = demand.own[id];
+        const double decay = std::exp(-elapsed / averaging_time(own_demand));
+        own_demand = decay * own_demand +
+                     (1.0 - decay) * arrivals[id] / std::max(elapsed, 1e-3);
+    }
+    arrivals.clear();
 }
 
-void report_demand(rates_context& context)
+// Takes over the demand that another host of this data centre has reported for
+// a pool that this host has begun to hold.
+void take_over_demand(rates_context& context, std::uint32_t shards)
 {
     demand_share_state& demand = context.state.demand;
-    if (context.now < demand.next_report_at)
-    {
-        return;
-    }
-    demand.next_report_at = context.now + demand_report_interval;
-    wire_rates::message_data message;
-    wire_rates::demand_report_data report;
-    demand.reported.clear();
-    for (const auto& [id, per_second] : demand.own)
+    const auto& members = context.inputs.members.members;
+    for (auto& [host, peer] : demand.peers)
     {
-        // Requests a second. The assumed demand covers smaller ones.
-        constexpr double min_reported_demand = 0.05;
-        if (per_second >= min_reported_demand)
+        const auto found = members.find(host);
+        if (found == members.end() ||
+            found->second.data_centre != context.state.settings.data_centre)
         {
-            demand.reported[id] = per_second;
-            report.rows.emplace_back(
-                static_cast<std::uint64_t>(id), static_cast<float>(per_second));
+            continue;
         }
-    }
-    message.body.Set(std::move(report));
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(wire_rates::message::Pack(builder, &message));
-    const std::vector<std::uint8_t> payload(
-        builder.GetBufferPointer(),
-        builder.GetBufferPointer() + builder.GetSize());
-    for (const auto& [host, peer] : context.inputs.members.members)
-    {
-        if (peer.state == member_state::alive ||
-            peer.state == member_state::suspect)
+        for (auto& [id, per_second] : peer.per_second)
         {
-            context.actions.messages.push_back(
-                {host, message_kind::rates, transport::datagram, payload});
+            if ((shards >> shard_of(id) & 1U) != 0)
+            {
+                double& own = demand.own[id];
+                own = std::max(own, std::exchange(per_second, 0.0));
+                demand.reported[id] = own;
+            }
         }
     }
 }
 
-void set_shares(rates_context& context)
+// The share of a pool that this host holds.
+double share_of_pool(
+    const rates_context& context, workspace_id id, const workspace& settings,
+    const reported_demand& others)
 {
     const demand_share_state& demand = context.state.demand;
-    std::size_t reporting_hosts = 1;
-    demand_by_workspace others;
-    for (const auto& [host, peer] : demand.peers)
+    const pool_hosts& hosts = context.state.pools.hosts;
+    const bool is_starting_alone =
+        context.now - demand.started_at < startup_time && hosts.known == 1;
+    if (is_starting_alone)
+    {
+        return startup_share;
+    }
+    const std::size_t known = std::max(others.hosts, hosts.known);
+    const double assumed_by_host =
+        assumed_demand * settings.rate / static_cast<double>(known);
+    const bool is_first =
+        is_first_pool_host(hosts, context.state.settings.self, shard_of(id));
+    const auto reported = demand.reported.find(id);
+    const auto other = others.per_second.find(id);
+    const double own_demand =
+        (reported == demand.reported.end() ? 0.0 : reported->second) +
+        (is_first ? assumed_by_host * static_cast<double>(others.local_hosts)
+                  : 0.0);
+    const double other_demand =
+        (other == others.per_second.end() ? 0.0 : other->second) +
+        assumed_by_host *
+            static_cast<double>(others.hosts - others.local_hosts);
+    return demand_share({own_demand, other_demand, others.hosts, known});
+}
+
+// The share of a host that cannot reach a pool. The pools stop using it once
+// they detect that the host is gone.
+double share_without_pool(const rates_context& context, duration silence)
+{
+    constexpr double share_before_detection = 0.5;
+    return (silence < demand_report_timeout ? share_before_detection : 1.0) /
+           static_cast<double>(context.state.pools.hosts.known);
+}
+
+void set_shares(rates_context& context)
+{
+    std::array<std::optional<reported_demand>, shard_count> collected;
+    for (const auto& [id, workspace] : context.state.workspaces)
     {
-        if (context.now - peer.received_at > demand_report_timeout)
+        const std::uint32_t shard = shard_of(id);
+        double share = 0.0;
+        bool is_pooled = false;
+        if (holds_pool(context, shard))
         {
-            continue;
+            if (!collected[shard])
+            {
+                collected[shard] = collect_reports(context, shard);
+            }
+            share = share_of_pool(context, id, workspace, *collected[shard]);
         }
-        ++reporting_hosts;
-        for (const auto& [id, per_second] : peer.per_second)
+        else if (const auto silence = silence_of_pools(context, shard))
         {
-            others[id] += per_second;
+            share = share_without_pool(context, *silence);
+        }
+        else
+        {
+            is_pooled = true;
         }
-    }
-    const std::size_t known_hosts =
-        std::max(reporting_hosts, count_other_hosts(context) + 1);
-    const bool is_starting_alone =
-        context.now - demand.started_at < startup_time && reporting_hosts == 1;
-    for (const auto& [id, workspace] : context.state.workspaces)
-    {
-        const double assumed =
-            assumed_demand * workspace.rate / static_cast<double>(known_hosts);
-        const auto reported = demand.reported.find(id);
-        const double own_demand =
-            reported == demand.reported.end() ? 0.0 : reported->second;
-        const double share =
-            is_starting_alone
-                ? startup_share
-                : demand_share(
-                      {own_demand + assumed,
-                       others[id] +
-                           assumed * static_cast<double>(reporting_hosts - 1),
-                       reporting_hosts, known_hosts});
         const auto [per_second, capacity] = spread_burst(
             workspace.rate, workspace.burst,
             {context.state.settings.window, context.state.settings.overage,
              context.state.settings.slack});
         // A bucket with a capacity below one token would never admit a request.
+        // That of a host without a pool holds returned tokens. A share ends
+        // with the reports that it was computed from, so that a host that was
+        // paused does not use it.
         set_own_allowance(
             context.inputs.limiter, id,
             {share * per_second, std::max(1.0, share * capacity),
-             time_point::max()},
+             context.now + demand_report_timeout, is_pooled},
             context.now);
     }
 }
@@ -219,33 +215,30 @@
     {
         return;
     }
-    sample_own_demand(context);
+    update_pool_hosts(
+        context.state.pools.hosts,
+        {context.state.settings.self, context.state.settings.data_centre,
+         context.state.leaving},
+        context.inputs.members, context.now);
     drop_departed_peers(context);
+    const std::uint32_t held = held_shards(context);
+    take_over_demand(context, held & ~demand.held);
+    demand.held = held;
+    sample_own_demand(context);
     report_demand(context);
     set_shares(context);
 }
 
-time_point demand_shares_due(const rates_state& state)
+void start_pool(rates_context& context, std::uint32_t shard)
 {
-    return state.demand.sampled_at + sample_interval;
+    take_over_demand(context, 1U << shard);
+    context.state.demand.held |= 1U << shard;
+    set_shares(context);
 }
 
-void on_demand_report(
-    rates_context& context, host_id from,
-    const wire_rates::demand_report_data& in)
+time_point demand_shares_due(const rates_state& state)
 {
-    peer_demand& peer = context.state.demand.peers[from];
-    peer.received_at = context.now;
-    peer.per_second.clear();
-    for (const auto& row : in.rows)
-    {
-        const double per_second = row.per_second();
-        if (std::isfinite(per_second) && per_second >= 0.0)
-        {
-            peer.per_second[static_cast<workspace_id>(row.workspace())] =
-                per_second;
-        }
-    }
+    return state.demand.sampled_at + sample_interval;
 }
 
 } // namespace cyclamenhold
--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -1,12 +1,15 @@
-// Demand-proportional shares: each host reports its callers' demand to all
-// others and uses the part of every rate that its demand is of all demand. In a
-// network partition, each side uses only the part of the rate that its hosts
-// are of all hosts, so that the sides together stay within the rate.
+// Demand-proportional shares: the hosts that hold a token pool of a workspace
+// report the demand there to each other, and each uses the part of the rate
+// that its demand is of all demand. In a network partition, each side uses only
+// the part of the rate that its hosts are of all hosts, so that the sides
+// together stay within the rate.
 #pragma once
 
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
+#include "core/rates/pool_hosts.hpp"
 
+#include <array>
 #include <map>
 
 namespace cyclamenhold
@@ -18,34 +21,36 @@
 // Requests a second, by workspace.
 using demand_by_workspace = std::map<workspace_id, double>;
 
-// The last demand report of another host.
+// The last demand report of another pool host.
 struct peer_demand
 {
-    time_point received_at{};
+    // By shard.
+    std::array<time_point, shard_count> received_at{};
     demand_by_workspace per_second;
 };
 
 struct demand_share_state
 {
+    // Demand at the pools of this host.
     demand_by_workspace own;
     // Own demand as last reported to the others. Shares are computed from it,
     // so that all hosts use the same values and their shares add up to one.
     demand_by_workspace reported;
     std::map<host_id, peer_demand> peers;
+    // The shards whose pools this host held at the last tick, one bit a shard.
+    std::uint32_t held = 0;
     time_point started_at{};
     time_point sampled_at{};
     time_point next_report_at{};
 };
 
-// Interval of demand reports to each other host.
+// Interval of demand reports to the other pool hosts of a shard.
 constexpr duration demand_report_interval = 500ms;
-// A host without a report for this time (six reports in a row are lost) may be
-// serving callers on the other side of a network partition.
+// A pool host without a report for this time (six reports in a row are lost)
+// may be on the other side of a network partition, with its data centre.
 constexpr duration demand_report_timeout = 3s;
-// A member in the state `dead` for this time is considered to serve no callers.
-constexpr duration dead_host_timeout = 20s;
 // The part of each rate that a starting host uses for the first `startup_time`,
-// while it has no report of another host.
+// while it knows no other host.
 constexpr double startup_share = 0.125;
 constexpr duration startup_time = 2s;
 
@@ -53,9 +58,10 @@
 struct share_inputs
 {
     double own_demand = 0.0;
-    // Of the other hosts with a recent report.
+    // Of the other pool hosts with a recent report.
     double other_demand = 0.0;
-    // Both counts include this host.
+    // Hosts of the data centres of which a pool host has reported, and all
+    // hosts. Both counts include this host.
     std::size_t hosts_reporting = 1;
     std::size_t hosts_known = 1;
 };
@@ -83,8 +89,12 @@
 [[nodiscard]] spread_rate
 spread_burst(double rate, double burst, const rate_tolerance& tolerance);
 
-// Samples and reports this host's demand and sets the limiter's allowances.
+// Samples and reports the demand at this host's pools and sets the limiter's
+// allowances.
 void tick_demand_shares(rates_context& context);
+// Sets the allowances of a shard whose pool this host has begun to hold. Takes
+// over the demand that another pool host of this data centre has reported.
+void start_pool(rates_context& context, std::uint32_t shard);
 // When tick_demand_shares is due next.
 [[nodiscard]] time_point demand_shares_due(const rates_state& state);
 
--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -3,6 +3,7 @@
 #include "core/rates/lease_terms.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenhold
 {
@@ -68,30 +69,39 @@
 }
 
 // Loans can bring tokens sooner than the bucket's own rate, so the wait is
-// estimated only for a limiter without loans.
+// estimated only for a limiter without loans, and by the pool's own estimate
+// for tokens of a pool.
 bool is_wait_too_long(
-    const rate_limiter& limiter, const token_bucket& bucket, duration max_wait)
+    const rate_limiter& limiter, const token_bucket& bucket,
+    time_point wait_until, time_point now)
 {
-    return !limiter.has_loans && expected_wait(bucket) > max_wait;
+    if (bucket.is_pooled)
+    {
+        return bucket.pool_refills_at > wait_until;
+    }
+    return !limiter.has_loans && expected_wait(bucket) > wait_until - now;
 }
 
-token_answer refusal_of(const token_bucket& bucket)
+token_answer refusal_of(const token_bucket& bucket, time_point now)
 {
+    constexpr duration min_pool_wait = 10ms;
     return {
         token_verdict::refused,
-        expected_wait(bucket),
+        bucket.is_pooled ? std::max(min_pool_wait, bucket.pool_refills_at - now)
+                         : expected_wait(bucket),
         {bucket.tokens, bucket.rate, bucket.capacity}};
 }
 
 } // namespace
 
-token_answer bucket_refusal(rate_limiter& limiter, workspace_id workspace)
+token_answer
+bucket_refusal(rate_limiter& limiter, workspace_id workspace, time_point now)
 {
     const std::scoped_lock lock(limiter.mutex);
     const auto found = limiter.buckets.find(workspace);
     return found == limiter.buckets.end()
                ? token_answer{token_verdict::refused, 1s, {}}
-               : refusal_of(found->second);
+               : refusal_of(found->second, now);
 }
 
 token_answer take_token(
@@ -113,9 +123,9 @@
         }
         wait_until = std::min(wait_until, now + limiter.longest_wait);
         if (wait_until <= now || bucket.waiters.size() >= max_waiters ||
-            is_wait_too_long(limiter, bucket, wait_until - now))
+            is_wait_too_long(limiter, bucket, wait_until, now))
         {
-            return refusal_of(bucket);
+            return refusal_of(bucket, now);
         }
         bucket.waiters.push_back({waiter, wait_until});
     }
@@ -165,6 +175,8 @@
         std::deque<waiting_request> remaining;
         for (const auto& request : bucket.waiters)
         {
+            const bool is_hopeless =
+                bucket.is_pooled && bucket.pool_refills_at > request.wait_until;
             if (request.wait_until <= now)
             {
                 results.expired.push_back(request.waiter);
@@ -173,6 +185,10 @@
             {
                 results.admitted.push_back(request.waiter);
             }
+            else if (is_hopeless)
+            {
+                results.expired.push_back(request.waiter);
+            }
             else
             {
                 remaining.push_back(request);
@@ -226,9 +242,64 @@
     bucket.rate = allowance.rate;
     bucket.capacity = allowance.capacity;
     bucket.valid_until = allowance.valid_until;
+    bucket.is_pooled = allowance.is_pooled;
     bucket.tokens = std::min(bucket.tokens, bucket.capacity);
 }
 
+double lend_tokens(
+    rate_limiter& limiter, workspace_id workspace, double wanted,
+    time_point now)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    const auto found = limiter.buckets.find(workspace);
+    if (found == limiter.buckets.end())
+    {
+        return 0.0;
+    }
+    token_bucket& bucket = found->second;
+    refill(bucket, now);
+    const double free =
+        bucket.tokens - static_cast<double>(bucket.waiters.size());
+    const double lent =
+        std::max(0.0, std::floor(std::min(wanted, free) + token_epsilon));
+    bucket.tokens = std::max(0.0, bucket.tokens - lent);
+    return lent;
+}
+
+void add_pool_tokens(
+    rate_limiter& limiter, workspace_id workspace, double tokens,
+    time_point expires_at, time_point now)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    const auto found = limiter.buckets.find(workspace);
+    if (found == limiter.buckets.end())
+    {
+        return;
+    }
+    auto& token_loans = found->second.token_loans;
+    std::erase_if(
+        token_loans,
+        [now](const token_loan& loan)
+        {
+            return loan.expires_at <= now || loan.tokens < 1.0 - token_epsilon;
+        });
+    token_loan loan;
+    loan.tokens = tokens;
+    loan.expires_at = expires_at;
+    token_loans.push_back(loan);
+}
+
+void set_pool_refill(
+    rate_limiter& limiter, workspace_id workspace, time_point refills_at)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    if (const auto found = limiter.buckets.find(workspace);
+        found != limiter.buckets.end())
+    {
+        found->second.pool_refills_at = refills_at;
+    }
+}
+
 void add_token_loan(
     rate_limiter& limiter, workspace_id workspace, token_loan loan)
 {
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -78,6 +78,10 @@
     double capacity = 0.0;
     time_point refilled_at{};
     time_point valid_until = time_point::min();
+    // Tokens come from a pool at another host, which expects none before
+    // `pool_refills_at`.
+    bool is_pooled = false;
+    time_point pool_refills_at{};
     std::vector<token_loan> token_loans;
     std::deque<waiting_request> waiters;
     // Requests for a token since the last sample_demand.
@@ -118,7 +122,7 @@
 // A refusal with the state of the workspace's bucket and the time until its
 // next token. Takes no token.
 [[nodiscard]] token_answer
-bucket_refusal(rate_limiter& limiter, workspace_id workspace);
+bucket_refusal(rate_limiter& limiter, workspace_id workspace, time_point now);
 
 // Returns the token of a request that has not run.
 void return_token(
@@ -155,6 +159,8 @@
     double rate = 0.0;
     double capacity = 0.0;
     time_point valid_until = time_point::min();
+    // Requests without a token wait for one of a pool at another host.
+    bool is_pooled = false;
 };
 
 void set_own_allowance(
@@ -164,6 +170,22 @@
 void add_token_loan(
     rate_limiter& limiter, workspace_id workspace, token_loan loan);
 
+// Takes up to `wanted` whole tokens from the node's own allowance, for another
+// host. Waiting requests of this host come first.
+[[nodiscard]] double lend_tokens(
+    rate_limiter& limiter, workspace_id workspace, double wanted,
+    time_point now);
+
+// Adds tokens of a pool, which can be used until `expires_at`.
+void add_pool_tokens(
+    rate_limiter& limiter, workspace_id workspace, double tokens,
+    time_point expires_at, time_point now);
+
+// Records that a pool expects no token before `refills_at`. Requests that would
+// wait longer than they may are refused at once.
+void set_pool_refill(
+    rate_limiter& limiter, workspace_id workspace, time_point refills_at);
+
 // Input for requesting loans ahead of demand.
 struct token_demand
 {
--- a/src/core/rates/rates.cpp
+++ b/src/core/rates/rates.cpp
@@ -41,6 +41,10 @@
         return on_removal_answer(context, from, *body.Asremoval_answer());
     case wire_rates::body::demand_report:
         return on_demand_report(context, from, *body.Asdemand_report());
+    case wire_rates::body::pool_request:
+        return on_pool_request(context, from, *body.Aspool_request());
+    case wire_rates::body::pool_reply:
+        return on_pool_reply(context, from, *body.Aspool_reply());
     case wire_rates::body::NONE:
         return;
     }
@@ -117,7 +121,12 @@
 
 } // namespace
 
-void send_rates(rates_context& context, host_id to, wire_rates::bodyUnion body)
+namespace
+{
+
+void send_via(
+    rates_context& context, host_id to, transport via,
+    wire_rates::bodyUnion body)
 {
     wire_rates::message_data message;
     message.body = std::move(body);
@@ -132,7 +141,20 @@
         return;
     }
     context.actions.messages.push_back(
-        {to, message_kind::rates, transport::stream, std::move(payload)});
+        {to, message_kind::rates, via, std::move(payload)});
+}
+
+} // namespace
+
+void send_rates(rates_context& context, host_id to, wire_rates::bodyUnion body)
+{
+    send_via(context, to, transport::stream, std::move(body));
+}
+
+void send_rates_datagram(
+    rates_context& context, host_id to, wire_rates::bodyUnion body)
+{
+    send_via(context, to, transport::datagram, std::move(body));
 }
 
 void rates_start(
@@ -150,6 +172,7 @@
     state.weight_leases.last_round = random() >> 1;
     state.weight_leases.first_round = state.weight_leases.last_round;
     state.hosts.last_id = random() >> 1;
+    state.pools.last_request = random() >> 1;
 }
 
 void rates_tick(
@@ -162,6 +185,8 @@
     if (state.settings.sharing == rate_sharing::by_demand)
     {
         tick_demand_shares(context);
+        tick_token_pools(context);
+        deliver_local_messages(context);
         return;
     }
     tick_roster(context);
@@ -195,7 +220,7 @@
 {
     if (state.settings.sharing == rate_sharing::by_demand)
     {
-        return demand_shares_due(state);
+        return std::min(demand_shares_due(state), token_pools_due(state));
     }
     return state.last_tick_at +
            (state.loans.busy ? busy_interval : idle_interval);
@@ -209,6 +234,8 @@
     state.leaving = true;
     if (state.settings.sharing == rate_sharing::by_demand)
     {
+        // The next tick selects the pools of other hosts.
+        state.pools.hosts.updated_at = {};
         return;
     }
     tick_loans(context);
--- a/src/core/rates/rates.hpp
+++ b/src/core/rates/rates.hpp
@@ -11,6 +11,7 @@
 #include "core/rates/loans.hpp"
 #include "core/rates/rate_limiter.hpp"
 #include "core/rates/roster_maintenance.hpp"
+#include "core/rates/token_pools.hpp"
 #include "core/rates/weight_leases.hpp"
 #include "ports/control_actions.hpp"
 
@@ -80,6 +81,7 @@
     weight_lease_state weight_leases;
     loan_state loans;
     demand_share_state demand;
+    token_pool_state pools;
     // The configuration revision that is applied to the limiter and to `share`.
     std::uint64_t revision = 0;
     // This data centre's part of all rates and bursts.
--- a/src/core/rates/rates_context.hpp
+++ b/src/core/rates/rates_context.hpp
@@ -21,6 +21,9 @@
 // handled before the event ends.
 void send_rates(
     rates_context& context, host_id to, wire::rates::bodyUnion body);
+// Sends a message as a datagram, which may be lost.
+void send_rates_datagram(
+    rates_context& context, host_id to, wire::rates::bodyUnion body);
 
 template <class Message>
 void send_rates_message(rates_context& context, host_id to, Message message)
@@ -82,6 +85,12 @@
 void on_loan_reply(
     rates_context& context, host_id from,
     const wire::rates::loan_reply_data& in);
+void on_pool_request(
+    rates_context& context, host_id from,
+    const wire::rates::pool_request_data& in);
+void on_pool_reply(
+    rates_context& context, host_id from,
+    const wire::rates::pool_reply_data& in);
 void on_demand_report(
     rates_context& context, host_id from,
     const wire::rates::demand_report_data& in);
--- /dev/null
+++ b/src/core/rates/token_pools.cpp
@@ -0,0 +1,354 @@
+#include "core/rates/token_pools.hpp"
+
+#include "core/rates/rates_context.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+namespace wire_rates = wire::rates;
+
+constexpr duration sample_interval = 100ms;
+constexpr double averaging_seconds = 1.0;
+// A host requests tokens for the arrivals that it expects within this time.
+constexpr duration demand_horizon = 250ms;
+// Arrivals that need no tokens are reported at this interval.
+constexpr duration report_interval = 250ms;
+// A pool with this many requests unanswered in a row is silent. It is tried
+// again at this interval.
+constexpr std::uint32_t max_unanswered = 2;
+constexpr duration trial_interval = 1s;
+// A host holds a pool for this time after the last request of another host.
+constexpr duration pool_holding_time = 1s;
+constexpr duration min_retry_delay = 10ms;
+constexpr duration max_retry_delay = 1s;
+// A larger message would not fit into a datagram.
+constexpr std::size_t max_items = 64;
+
+using pool_requests = std::map<host_id, std::vector<wire_rates::pool_item>>;
+
+// A single arrival must not raise the rate to one in the horizon, or each one
+// would take a second token that nobody uses.
+void sample_rate(entry_demand& demand, double arrivals, time_point now)
+{
+    demand.arrivals += arrivals;
+    demand.unreported += arrivals;
+    const duration elapsed = now - demand.sampled_at;
+    if (elapsed < sample_interval)
+    {
+        return;
+    }
+    const double decay = std::exp(-to_seconds(elapsed) / averaging_seconds);
+    demand.rate = decay * demand.rate +
+                  (1.0 - decay) * demand.arrivals / to_seconds(elapsed);
+    demand.arrivals = 0.0;
+    demand.sampled_at = now;
+}
+
+bool is_silent(const token_pool_state& pools, host_id host)
+{
+    const auto found = pools.contacts.find(host);
+    return found != pools.contacts.end() &&
+           found->second.silent_since != time_point{};
+}
+
+// The host to request tokens of a shard from; none while all are silent and
+// none is due for a trial.
+host_id select_pool(rates_context& context, std::uint32_t shard)
+{
+    auto& pools = context.state.pools;
+    for (const host_id host : pools.hosts.local[shard])
+    {
+        if (!is_silent(pools, host))
+        {
+            return host;
+        }
+        pool_contact& contact = pools.contacts[host];
+        if (context.now >= contact.next_trial_at)
+        {
+            contact.next_trial_at = context.now + trial_interval;
+            return host;
+        }
+    }
+    return host_id::none;
+}
+
+void record_unanswered(rates_context& context, host_id host)
+{
+    pool_contact& contact = context.state.pools.contacts[host];
+    ++contact.unanswered;
+    if (contact.unanswered >= max_unanswered &&
+        contact.silent_since == time_point{})
+    {
+        contact.silent_since = context.now;
+        contact.next_trial_at = context.now + trial_interval;
+    }
+}
+
+// Adds a request for the tokens that a workspace needs, or a report of its
+// arrivals.
+void add_item(
+    rates_context& context, pool_requests& requests, workspace_id id,
+    double wanted)
+{
+    entry_demand& demand = context.state.pools.entering[id];
+    const bool is_due = wanted >= 1.0 && context.now >= demand.next_request_at;
+    const bool is_report_due =
+        demand.unreported > 0.0 &&
+        context.now - demand.reported_at >= report_interval;
+    if (demand.request != 0 || (!is_due && !is_report_due))
+    {
+        return;
+    }
+    const host_id host = select_pool(context, shard_of(id));
+    if (host == host_id::none)
+    {
+        return;
+    }
+    requests[host].emplace_back(
+        static_cast<std::uint64_t>(id),
+        static_cast<float>(is_due ? wanted : 0.0),
+        static_cast<float>(demand.unreported));
+    demand.unreported = 0.0;
+    demand.reported_at = context.now;
+}
+
+void send_requests(rates_context& context, const pool_requests& requests)
+{
+    auto& pools = context.state.pools;
+    for (const auto& [host, items] : requests)
+    {
+        for (std::size_t begin = 0; begin < items.size(); begin += max_items)
+        {
+            const auto end = std::min(begin + max_items, items.size());
+            wire_rates::pool_request_data request;
+            request.request = ++pools.last_request;
+            for (std::size_t index = begin; index < end; ++index)
+            {
+                const auto id =
+                    static_cast<workspace_id>(items[index].workspace());
+                pools.entering[id].request = request.request;
+                request.items.push_back(items[index]);
+            }
+            pools.sent[request.request] = {host, context.now};
+            wire_rates::bodyUnion body;
+            body.Set(std::move(request));
+            send_rates_datagram(context, host, std::move(body));
+        }
+    }
+}
+
+void expire_requests(rates_context& context)
+{
+    auto& pools = context.state.pools;
+    std::erase_if(
+        pools.sent,
+        [&context](const auto& entry)
+        {
+            return context.now - entry.second.sent_at >= pool_token_term;
+        });
+    for (auto& [request, sent] : pools.sent)
+    {
+        if (!sent.is_late && context.now - sent.sent_at >= pool_request_timeout)
+        {
+            sent.is_late = true;
+            record_unanswered(context, sent.to);
+        }
+    }
+    for (auto& [id, demand] : pools.entering)
+    {
+        const auto found = pools.sent.find(demand.request);
+        if (found == pools.sent.end() || found->second.is_late)
+        {
+            demand.request = 0;
+        }
+    }
+}
+
+duration retry_delay(double missing, double rate)
+{
+    return rate <= 0.0
+               ? max_retry_delay
+               : std::clamp(
+                     from_seconds(missing / rate), duration(min_retry_delay),
+                     duration(max_retry_delay));
+}
+
+} // namespace
+
+bool holds_pool(const rates_context& context, std::uint32_t shard)
+{
+    const auto& pools = context.state.pools;
+    return !context.state.leaving &&
+           (is_first_pool_host(
+                pools.hosts, context.state.settings.self, shard) ||
+            context.now < pools.requested_until[shard]);
+}
+
+std::optional<duration>
+silence_of_pools(const rates_context& context, std::uint32_t shard)
+{
+    const auto& pools = context.state.pools;
+    time_point since = context.now;
+    for (const host_id host : pools.hosts.local[shard])
+    {
+        if (!is_silent(pools, host))
+        {
+            return std::nullopt;
+        }
+        since = std::min(since, pools.contacts.at(host).silent_since);
+    }
+    return context.now - since;
+}
+
+void tick_token_pools(rates_context& context)
+{
+    rates_state& state = context.state;
+    expire_requests(context);
+    std::erase_if(
+        state.pools.entering,
+        [&state](const auto& entry)
+        {
+            return !state.workspaces.contains(entry.first);
+        });
+    pool_requests requests;
+    for (const auto& [id, settings] : state.workspaces)
+    {
+        const auto sample =
+            sample_demand(context.inputs.limiter, id, context.now);
+        const std::uint32_t shard = shard_of(id);
+        entry_demand& demand = state.pools.entering[id];
+        sample_rate(demand, sample.arrivals, context.now);
+        if (settings.unlimited)
+        {
+            continue;
+        }
+        if (holds_pool(context, shard))
+        {
+            state.pools.pool_arrivals[id] +=
+                std::exchange(demand.unreported, 0.0);
+            continue;
+        }
+        const double expected =
+            std::floor(demand.rate * to_seconds(demand_horizon));
+        add_item(
+            context, requests, id,
+            std::ceil(sample.waiting + expected - sample.available));
+    }
+    send_requests(context, requests);
+}
+
+time_point token_pools_due(const rates_state& state)
+{
+    time_point due = time_point::max();
+    for (const auto& [request, sent] : state.pools.sent)
+    {
+        if (!sent.is_late)
+        {
+            due = std::min(due, sent.sent_at + pool_request_timeout);
+        }
+    }
+    return due;
+}
+
+void on_pool_request(
+    rates_context& context, host_id from,
+    const wire_rates::pool_request_data& in)
+{
+    rates_state& state = context.state;
+    wire_rates::pool_reply_data reply;
+    reply.request = in.request;
+    reply.declined = state.leaving;
+    for (const auto& item : in.items)
+    {
+        const auto id = static_cast<workspace_id>(item.workspace());
+        const auto found = state.workspaces.find(id);
+        const double wanted = item.wanted();
+        const double arrivals = item.arrivals();
+        if (state.leaving || found == state.workspaces.end() ||
+            !std::isfinite(wanted) || !std::isfinite(arrivals) ||
+            wanted < 0.0 || arrivals < 0.0)
+        {
+            continue;
+        }
+        const std::uint32_t shard = shard_of(id);
+        const bool held = holds_pool(context, shard);
+        state.pools.requested_until[shard] = context.now + pool_holding_time;
+        if (!held)
+        {
+            start_pool(context, shard);
+        }
+        state.pools.pool_arrivals[id] += arrivals;
+        const double amount =
+            lend_tokens(context.inputs.limiter, id, wanted, context.now);
+        const auto level =
+            bucket_refusal(context.inputs.limiter, id, context.now).level;
+        const duration wait = amount >= wanted
+                                  ? duration::zero()
+                                  : retry_delay(1.0 - level.tokens, level.rate);
+        reply.grants.emplace_back(
+            item.workspace(), static_cast<float>(amount),
+            static_cast<std::uint32_t>(to_microseconds(wait)));
+    }
+    wire_rates::bodyUnion body;
+    body.Set(std::move(reply));
+    send_rates_datagram(context, from, std::move(body));
+}
+
+void on_pool_reply(
+    rates_context& context, host_id from, const wire_rates::pool_reply_data& in)
+{
+    auto& pools = context.state.pools;
+    if (in.declined)
+    {
+        record_unanswered(context, from);
+        record_unanswered(context, from);
+    }
+    else
+    {
+        pools.contacts.erase(from);
+    }
+    const auto found = pools.sent.find(in.request);
+    if (found == pools.sent.end() || found->second.to != from)
+    {
+        return;
+    }
+    const time_point expires_at = found->second.sent_at + pool_token_term;
+    pools.sent.erase(found);
+    for (const auto& grant : in.grants)
+    {
+        const auto id = static_cast<workspace_id>(grant.workspace());
+        const auto entering = pools.entering.find(id);
+        if (entering == pools.entering.end() || !std::isfinite(grant.amount()))
+        {
+            continue;
+        }
+        if (grant.amount() > 0.0F)
+        {
+            add_pool_tokens(
+                context.inputs.limiter, id, grant.amount(), expires_at,
+                context.now);
+        }
+        const time_point refills_at =
+            grant.retry_after_us() == 0
+                ? time_point{}
+                : context.now + from_microseconds(grant.retry_after_us());
+        entering->second.next_request_at = refills_at;
+        set_pool_refill(context.inputs.limiter, id, refills_at);
+    }
+    for (auto& [id, demand] : pools.entering)
+    {
+        if (demand.request == in.request)
+        {
+            demand.request = 0;
+        }
+    }
+    // Callers may have arrived since the request.
+    tick_token_pools(context);
+}
+
+} // namespace cyclamenhold
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -409,7 +409,7 @@
         call.ended_without_load_signal = true;
         const auto tables = path.tables.read();
         const token_answer answer =
-            bucket_refusal(path.limiter, call.context.workspace);
+            bucket_refusal(path.limiter, call.context.workspace, now);
         return refuse(
             refusal::rate_exceeded, outcome::not_run, answer.retry_after,
             rate_inputs(*tables, call.workspace, answer));
