Send heartbeats on links in use, and fewer timers in an idle node

Cause: both sides of each peer link sent four heartbeats a second and answered those of the other side, on links without requests too; at a hundred hosts most links are idle most of the time. The control thread woke 50 times a second and the gate's timer 100 times without anything to do. A host that was paused for seconds gave up all its links at its wake, with the requests on them, though their frames were unread in its buffers. Change: the side that dialled sends heartbeats, none while frames arrive, four a second with requests in flight and one without; the other side answers. The decision is core/routing/link_health; a gap between two of its checks does not count as silence of the peer. The control thread wakes each 100 ms, 20 ms while requests wait for tokens; the gate's timer each 50 ms, 10 ms with a queue.

--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -103,6 +103,8 @@
             build_quarantine_view(loop.state.quarantine)));
 }
 
+void arm_timer(control_loop& loop);
+
 void resume_waiting_calls(control_loop& loop)
 {
     const auto results = settle_waiters(loop.services.path.limiter, now());
@@ -122,6 +124,11 @@
         wakeup.answer = answer;
         wake_call(loop.wakeups, answer.token, wakeup);
     }
+    if (!std::exchange(loop.has_waiting_calls, results.waiting > 0) &&
+        loop.has_waiting_calls)
+    {
+        arm_timer(loop);
+    }
 }
 
 void finish_commits(control_loop& loop)
@@ -135,8 +142,6 @@
     }
 }
 
-void arm_timer(control_loop& loop);
-
 // Runs one event of the control core, executes its actions and publishes the
 // state that it changed.
 template <class Handler>
@@ -304,7 +309,9 @@
 void arm_timer(control_loop& loop)
 {
     const time_point due = std::max(control_due(loop.state), now() + 1ms);
-    loop.timer.expires_at(std::min(due, now() + max_control_interval));
+    const auto longest = loop.has_waiting_calls ? waiting_control_interval
+                                                : max_control_interval;
+    loop.timer.expires_at(std::min(due, now() + longest));
     loop.timer.async_wait(
         [&loop](const boost::system::error_code& error)
         {
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -20,8 +20,10 @@
 namespace cyclamenhold
 {
 
-// The longest time between two checks of the waiting requests.
-constexpr auto max_control_interval = std::chrono::milliseconds(20);
+// The longest time between two checks of requests that wait for tokens, and
+// between two checks of the upstream and the keys without such requests.
+constexpr auto waiting_control_interval = std::chrono::milliseconds(20);
+constexpr auto max_control_interval = std::chrono::milliseconds(100);
 
 struct control_loop
 {
@@ -65,6 +67,8 @@
     double fleet_retry_slack = 0.0;
     bool platform_reachable = true;
     bool leaving = false;
+    // Requests waited for tokens after the last control event.
+    bool has_waiting_calls = false;
     // A tick is posted because requests wait for tokens.
     std::atomic<bool> tick_requested{false};
     // Processor time spent in control events, for the processor budget of the
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -240,6 +240,12 @@
     return gate_report(gate.gate, now());
 }
 
+bool has_waiting_requests(local_gate& gate)
+{
+    const std::scoped_lock lock(gate.mutex);
+    return !gate.waiting.empty();
+}
+
 std::size_t count_requests(local_gate& gate)
 {
     const std::scoped_lock lock(gate.mutex);
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -58,6 +58,8 @@
 
 [[nodiscard]] load_report report_of(local_gate& gate);
 
+[[nodiscard]] bool has_waiting_requests(local_gate& gate);
+
 // The number of requests that are queued or running.
 [[nodiscard]] std::size_t count_requests(local_gate& gate);
 
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -18,7 +18,9 @@
 // before new work is refused.
 constexpr auto leave_propagation_time = std::chrono::milliseconds(1'500);
 constexpr auto stop_poll_interval = std::chrono::milliseconds(50);
+// Between two checks of the gate's queue, and of an empty one.
 constexpr auto gate_tick_interval = std::chrono::milliseconds(10);
+constexpr auto idle_gate_tick_interval = std::chrono::milliseconds(50);
 
 struct node_runtime
 {
@@ -187,7 +189,9 @@
     asio::steady_timer timer(node->threads.front()->io);
     while (true)
     {
-        timer.expires_after(gate_tick_interval);
+        timer.expires_after(
+            has_waiting_requests(node->gate) ? gate_tick_interval
+                                             : idle_gate_tick_interval);
         co_await timer.async_wait(asio::use_awaitable);
         tick_gate(node->gate);
     }
@@ -281,7 +285,7 @@
         new_event.peer = peer;
         new_event.detail = absl::StrFormat(
             "no heartbeat for %d ms: new requests avoid this peer",
-            peer_avoidance_timeout.count());
+            to_milliseconds(peer_avoidance_timeout));
         node.services.record(new_event);
     };
     node.control_side.request_claim = [&node](const claim_request& request)
--- a/src/adapters/node_services.hpp
+++ b/src/adapters/node_services.hpp
@@ -31,14 +31,6 @@
     std::uint32_t max_connections = 10'000;
 };
 
-// Each side of a peer link sends a heartbeat per interval, and closes a link on
-// which nothing was received for heartbeat_timeout. New requests avoid a peer
-// sooner, after peer_avoidance_timeout: another host costs them nothing, while
-// requests under way may still be answered.
-constexpr auto heartbeat_interval = std::chrono::milliseconds(250);
-constexpr auto peer_avoidance_timeout = std::chrono::milliseconds(600);
-constexpr auto heartbeat_timeout = std::chrono::milliseconds(2'000);
-
 struct node_services
 {
     host_id self = host_id::none;
@@ -63,7 +55,7 @@
     // Posts a control message of a peer to the control thread.
     std::function<void(host_id, message_kind, std::vector<std::uint8_t>)>
         on_control_message;
-    // Called when nothing was received from the peer for longer than
+    // Called when the peer has frames to answer and was silent for longer than
     // peer_avoidance_timeout.
     std::function<void(host_id)> on_peer_silent;
 };
--- a/src/adapters/peer_socket.cpp
+++ b/src/adapters/peer_socket.cpp
@@ -150,7 +150,6 @@
         {
             co_return absl::UnavailableError(error.message());
         }
-        peer.last_received_at = now();
     }
     co_return absl::OkStatus();
 }
--- a/src/adapters/peer_socket.hpp
+++ b/src/adapters/peer_socket.hpp
@@ -33,7 +33,6 @@
     host_id peer = host_id::none;
     incarnation peer_incarnation = 0;
     bool closed = false;
-    time_point last_received_at{};
     time_point written_at{};
 
     // The bytes read and not yet extracted are from `received_begin` to
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -479,7 +479,13 @@
     stream->credit = max_chunk_bytes;
     stream->receive_credit = stream_window_bytes;
     work->on_reply_consumed = make_consumed_hook(link, stream, id);
+    if (link->streams.empty())
+    {
+        // Checks the link at the interval of links in use from now on.
+        link->heartbeat.cancel();
+    }
     link->streams.emplace(id, stream);
+    record_link_send(link->health, now());
     work->unsent = false;
     encode_open_stream(
         link->connection->pending, id, work->context, work->head,
@@ -505,28 +511,43 @@
     flush(link->connection);
 }
 
-asio::awaitable<void> send_heartbeats(peer_link_ptr link)
+void give_up_silent_link(const peer_link_ptr& link)
+{
+    event new_event;
+    new_event.kind = event_kind::peer_silent;
+    new_event.peer = link->connection->peer;
+    new_event.detail = "the link is given up";
+    link->services.record(new_event);
+    end_link(link);
+}
+
+asio::awaitable<void> watch_link(peer_link_ptr link)
 {
     std::uint64_t sequence = 0;
+    link_health& health = link->health;
     while (!link->connection->closed)
     {
-        if (now() - link->connection->last_received_at > heartbeat_timeout)
+        const time_point at = now();
+        const bool is_busy = !link->streams.empty();
+        begin_link_check(health, at);
+        const link_state state = state_of_link(health, is_busy, at);
+        if (state == link_state::silent)
         {
-            event new_event;
-            new_event.kind = event_kind::peer_silent;
-            new_event.peer = link->connection->peer;
-            new_event.detail = "the link is given up";
-            link->services.record(new_event);
-            end_link(link);
+            give_up_silent_link(link);
             co_return;
         }
-        if (now() - link->connection->last_received_at > peer_avoidance_timeout)
+        if (state == link_state::avoided)
         {
             link->services.on_peer_silent(link->connection->peer);
         }
-        encode_heartbeat(link->connection->pending, ++sequence, false);
-        flush(link->connection);
-        link->heartbeat.expires_after(heartbeat_interval);
+        if (is_heartbeat_due(health, is_busy, at))
+        {
+            health.last_heartbeat_at = at;
+            record_link_send(health, at);
+            encode_heartbeat(link->connection->pending, ++sequence, false);
+            flush(link->connection);
+        }
+        link->heartbeat.expires_after(link_check_interval(health, is_busy));
         co_await link->heartbeat.async_wait(
             asio::as_tuple(asio::use_awaitable));
     }
@@ -570,7 +591,8 @@
 asio::awaitable<void> run_link(peer_link_ptr link)
 {
     link->ready = true;
-    link->connection->last_received_at = now();
+    link->health.is_dialled_here = link->dialled_here;
+    record_link_receive(link->health, now());
     for (const auto& work : std::exchange(link->waiting, {}))
     {
         start_stream(link, work);
@@ -579,7 +601,7 @@
     {
         send_control(link, message);
     }
-    asio::co_spawn(executor_of(*link), send_heartbeats(link), asio::detached);
+    asio::co_spawn(executor_of(*link), watch_link(link), asio::detached);
     std::vector<std::uint8_t> payload;
     while (!link->connection->closed)
     {
@@ -592,6 +614,7 @@
             }
             break;
         }
+        record_link_receive(link->health, now());
         const wire::frame* const frame = decode_frame(payload);
         if (frame == nullptr || !dispatch_frame(link, *frame))
         {
--- a/src/adapters/peer_streams.hpp
+++ b/src/adapters/peer_streams.hpp
@@ -6,6 +6,7 @@
 #include "adapters/exchange.hpp"
 #include "adapters/node_services.hpp"
 #include "adapters/peer_socket.hpp"
+#include "core/routing/link_health.hpp"
 
 #include <xxhash.h>
 
@@ -78,7 +79,9 @@
 
     node_services& services;
     peer_socket_ptr connection;
+    // The wait for the next check of `health`.
     asio::steady_timer heartbeat;
+    link_health health;
     bool dialled_here = false;
     bool ready = false;
     // The peer accepts no new streams on this link.
--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -195,6 +195,7 @@
             }
         }
         bucket.waiters.swap(remaining);
+        results.waiting += bucket.waiters.size();
     }
     return results;
 }
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -136,6 +136,8 @@
 {
     std::vector<token_waiter> admitted;
     std::vector<token_waiter> expired;
+    // Requests that still wait.
+    std::size_t waiting = 0;
 };
 
 // Admits waiting requests in order while there are tokens, and expires those
--- /dev/null
+++ b/src/core/routing/link_health.hpp
@@ -0,0 +1,73 @@
+// When a peer link sends heartbeats, and when its silence means that requests
+// avoid the peer or that the link is given up. The host that dialled the link
+// sends the heartbeats and the other one answers them: a fleet in which each
+// host has a link to each other one would otherwise send most of its frames on
+// links without requests.
+#pragma once
+
+#include "core/base/time.hpp"
+
+#include <cstdint>
+
+namespace cyclamenhold
+{
+
+// Interval of heartbeats on a link with requests in flight. None is sent while
+// frames arrive.
+constexpr duration busy_heartbeat_interval = 250ms;
+// Interval on a link without requests in flight, which detects that the link is
+// silent before a request is sent over it.
+constexpr duration idle_heartbeat_interval = 1s;
+// New requests avoid a peer that has been silent for this time although it has
+// frames to answer: another host costs them nothing, while requests under way
+// may still be answered.
+constexpr duration peer_avoidance_timeout = 600ms;
+// A link that has been silent for this time is closed.
+constexpr duration link_timeout = 2s;
+// The side that did not dial waits for this time without requests in flight,
+// several idle heartbeats.
+constexpr duration idle_link_timeout = 4s;
+
+struct link_health
+{
+    bool is_dialled_here = false;
+    time_point last_received_at{};
+    // The oldest heartbeat or request since the last frame from the peer; zero
+    // if there is none.
+    time_point unanswered_since{};
+    time_point last_heartbeat_at{};
+    time_point last_checked_at{};
+};
+
+enum class link_state : std::uint8_t
+{
+    healthy,
+    // New requests avoid the peer.
+    avoided,
+    // The link is given up.
+    silent
+};
+
+// Must be called before the functions below at each check. If the last check is
+// much longer ago than an interval, this process was paused: the time does not
+// count as silence of the peer, whose frames may still be unread.
+void begin_link_check(link_health& health, time_point now);
+
+// When the link has to be checked next, without a request before that.
+[[nodiscard]] duration
+link_check_interval(const link_health& health, bool is_busy);
+
+// Records a frame from the peer.
+void record_link_receive(link_health& health, time_point now);
+
+// Records a request or a heartbeat that the peer has to answer.
+void record_link_send(link_health& health, time_point now);
+
+[[nodiscard]] link_state
+state_of_link(const link_health& health, bool is_busy, time_point now);
+
+// Whether a heartbeat is due. `is_busy`: requests are in flight.
+[[nodiscard]] bool
+is_heartbeat_due(const link_health& health, bool is_busy, time_point now);
+
+} // namespace cyclamenhold
