Say in the log when the pool of a workspace has no token

Change: the line names the pool and the time until its next token. Test: token_pools.callers_who_cannot_be_served_in_time_are_refused_at_once.

--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -89,7 +89,7 @@
         token_verdict::refused,
         bucket.is_pooled ? std::max(min_pool_wait, bucket.pool_refills_at - now)
                          : expected_wait(bucket),
-        {bucket.tokens, bucket.rate, bucket.capacity}};
+        {bucket.tokens, bucket.rate, bucket.capacity, bucket.is_pooled}};
 }
 
 } // namespace
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -37,6 +37,8 @@
     double tokens = 0.0;
     double rate = 0.0;
     double capacity = 0.0;
+    // The tokens come from a pool at another host.
+    bool is_pooled = false;
 };
 
 struct token_answer
--- a/src/core/request/refusal_inputs.cpp
+++ b/src/core/request/refusal_inputs.cpp
@@ -22,6 +22,13 @@
     const request_tables& tables, std::string_view workspace,
     const token_answer& answer)
 {
+    if (answer.level.is_pooled)
+    {
+        return absl::StrFormat(
+            "version %d, workspace %s, the pool of the data centre has no "
+            "token for %d ms",
+            tables.revision, workspace, to_milliseconds(answer.retry_after));
+    }
     return absl::StrFormat(
         "version %d, workspace %s, this host's share %.2f/s, %.2f of %.2f "
         "tokens",
--- a/tests/core/token_pools_test.cpp
+++ b/tests/core/token_pools_test.cpp
@@ -1,5 +1,6 @@
 // Rates that are divided among so many hosts that each host's part is less than
 // one request, on a virtual clock.
+#include "core/request/refusal_inputs.hpp"
 #include "support/sharing_fleet.hpp"
 
 #include <gtest/gtest.h>
@@ -201,5 +202,45 @@
     RecordProperty("messages_at_300", std::to_string(at_300));
 }
 
+// Guards against callers who are held until the end of the longest wait though
+// the pool has said that no token comes before, and against a Retry-After that
+// ignores the pool.
+TEST(token_pools, callers_who_cannot_be_served_in_time_are_refused_at_once)
+{
+    const time_point now{100s};
+    rate_limiter limiter;
+    limiter.longest_wait = 200ms;
+    limit_workspaces(limiter, {school}, now);
+    set_own_allowance(limiter, school, {0.0, 1.0, now + 3s, true}, now);
+    EXPECT_EQ(
+        take_token(limiter, school, 1, now + 5s, now).verdict,
+        token_verdict::waiting);
+    set_pool_refill(limiter, school, now + 700ms);
+    {
+        SCOPED_TRACE("the one who waits, and the next one");
+        EXPECT_EQ(settle_waiters(limiter, now).expired.size(), 1U);
+        const auto refused = take_token(limiter, school, 2, now + 5s, now);
+        EXPECT_EQ(refused.verdict, token_verdict::refused);
+        EXPECT_EQ(refused.retry_after, duration(700ms));
+        const auto text = rate_inputs(request_tables{}, "school", refused);
+        EXPECT_NE(text.find("no token for 700 ms"), std::string::npos) << text;
+    }
+    {
+        SCOPED_TRACE("shortly before the refill callers wait again");
+        EXPECT_EQ(
+            take_token(limiter, school, 3, now + 5s, now + 600ms).verdict,
+            token_verdict::waiting);
+        add_pool_tokens(limiter, school, 1.0, now + 2s, now + 650ms);
+        EXPECT_EQ(settle_waiters(limiter, now + 650ms).admitted.size(), 1U);
+    }
+    {
+        SCOPED_TRACE("tokens end with their term");
+        add_pool_tokens(limiter, school, 1.0, now + 2s, now + 1s);
+        EXPECT_NE(
+            take_token(limiter, school, 4, now + 9s, now + 2s).verdict,
+            token_verdict::admitted);
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
