--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -175,17 +175,14 @@
         std::deque<waiting_request> remaining;
         for (const auto& request : bucket.waiters)
         {
+            const bool is_late = request.wait_until <= now;
             const bool is_hopeless =
                 bucket.is_pooled && bucket.pool_refills_at > request.wait_until;
-            if (request.wait_until <= now)
-            {
-                results.expired.push_back(request.waiter);
-            }
-            else if (remaining.empty() && take_one(bucket, now))
+            if (!is_late && remaining.empty() && take_one(bucket, now))
             {
                 results.admitted.push_back(request.waiter);
             }
-            else if (is_hopeless)
+            else if (is_late || is_hopeless)
             {
                 results.expired.push_back(request.waiter);
             }
