Send heartbeats on idle links as often as on others again

A link is found silent up to 1.6 s after it became so in place of 0.85 s, and what is sent meanwhile has an unknown outcome. Change: four heartbeats a second on all links without other frames; still only the side that dialled sends them, and a pause of this process is still no silence of the peer. Test: link_health.* with the one interval.

--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -479,11 +479,6 @@
     stream->credit = max_chunk_bytes;
     stream->receive_credit = stream_window_bytes;
     work->on_reply_consumed = make_consumed_hook(link, stream, id);
-    if (link->streams.empty())
-    {
-        // Checks the link at the interval of links in use from now on.
-        link->heartbeat.cancel();
-    }
     link->streams.emplace(id, stream);
     record_link_send(link->health, now());
     work->unsent = false;
@@ -528,9 +523,8 @@
     while (!link->connection->closed)
     {
         const time_point at = now();
-        const bool is_busy = !link->streams.empty();
         begin_link_check(health, at);
-        const link_state state = state_of_link(health, is_busy, at);
+        const link_state state = state_of_link(health, at);
         if (state == link_state::silent)
         {
             give_up_silent_link(link);
@@ -540,14 +534,14 @@
         {
             link->services.on_peer_silent(link->connection->peer);
         }
-        if (is_heartbeat_due(health, is_busy, at))
+        if (is_heartbeat_due(health, at))
         {
             health.last_heartbeat_at = at;
             record_link_send(health, at);
             encode_heartbeat(link->connection->pending, ++sequence, false);
             flush(link->connection);
         }
-        link->heartbeat.expires_after(link_check_interval(health, is_busy));
+        link->heartbeat.expires_after(heartbeat_interval);
         co_await link->heartbeat.async_wait(
             asio::as_tuple(asio::use_awaitable));
     }
--- a/src/core/routing/link_health.cpp
+++ b/src/core/routing/link_health.cpp
@@ -8,7 +8,7 @@
 
 void begin_link_check(link_health& health, time_point now)
 {
-    constexpr duration longest_gap = idle_heartbeat_interval + 500ms;
+    constexpr duration longest_gap = heartbeat_interval + 500ms;
     const time_point last = std::exchange(health.last_checked_at, now);
     const duration gap = now - last;
     if (last == time_point{} || gap <= longest_gap)
@@ -22,13 +22,6 @@
     }
 }
 
-duration link_check_interval(const link_health& health, bool is_busy)
-{
-    const bool is_waiting = health.unanswered_since != time_point{};
-    return is_busy || is_waiting ? busy_heartbeat_interval
-                                 : idle_heartbeat_interval;
-}
-
 void record_link_receive(link_health& health, time_point now)
 {
     health.last_received_at = now;
@@ -43,14 +36,13 @@
     }
 }
 
-link_state
-state_of_link(const link_health& health, bool is_busy, time_point now)
+link_state state_of_link(const link_health& health, time_point now)
 {
     if (!health.is_dialled_here)
     {
-        const duration limit = is_busy ? link_timeout : idle_link_timeout;
-        return now - health.last_received_at > limit ? link_state::silent
-                                                     : link_state::healthy;
+        return now - health.last_received_at > link_timeout
+                   ? link_state::silent
+                   : link_state::healthy;
     }
     if (health.unanswered_since == time_point{})
     {
@@ -62,16 +54,11 @@
                                               : link_state::healthy;
 }
 
-bool is_heartbeat_due(const link_health& health, bool is_busy, time_point now)
+bool is_heartbeat_due(const link_health& health, time_point now)
 {
-    if (!health.is_dialled_here)
-    {
-        return false;
-    }
-    const duration interval =
-        is_busy ? busy_heartbeat_interval : idle_heartbeat_interval;
-    return now - std::max(health.last_received_at, health.last_heartbeat_at) >=
-           interval;
+    return health.is_dialled_here &&
+           now - std::max(health.last_received_at, health.last_heartbeat_at) >=
+               heartbeat_interval;
 }
 
 } // namespace cyclamenhold
--- a/src/core/routing/link_health.hpp
+++ b/src/core/routing/link_health.hpp
@@ -1,8 +1,6 @@
 // When a peer link sends heartbeats, and when its silence means that requests
 // avoid the peer or that the link is given up. The host that dialled the link
-// sends the heartbeats and the other one answers them: a fleet in which each
-// host has a link to each other one would otherwise send most of its frames on
-// links without requests.
+// sends the heartbeats and the other one answers them.
 #pragma once
 
 #include "core/base/time.hpp"
@@ -12,22 +10,15 @@
 namespace cyclamenhold
 {
 
-// Interval of heartbeats on a link with requests in flight. None is sent while
-// frames arrive.
-constexpr duration busy_heartbeat_interval = 250ms;
-// Interval on a link without requests in flight, which detects that the link is
-// silent before a request is sent over it.
-constexpr duration idle_heartbeat_interval = 1s;
+// Interval of heartbeats, on idle links too: they detect that a link is silent
+// before a request is sent over it. None is sent while frames arrive.
+constexpr duration heartbeat_interval = 250ms;
 // New requests avoid a peer that has been silent for this time although it has
 // frames to answer: another host costs them nothing, while requests under way
 // may still be answered.
 constexpr duration peer_avoidance_timeout = 600ms;
 // A link that has been silent for this time is closed.
 constexpr duration link_timeout = 2s;
-// The side that did not dial waits for this time without requests in flight,
-// several idle heartbeats.
-constexpr duration idle_link_timeout = 4s;
-
 struct link_health
 {
     bool is_dialled_here = false;
@@ -53,10 +44,6 @@
 // count as silence of the peer, whose frames may still be unread.
 void begin_link_check(link_health& health, time_point now);
 
-// When the link has to be checked next, without a request before that.
-[[nodiscard]] duration
-link_check_interval(const link_health& health, bool is_busy);
-
 // Records a frame from the peer.
 void record_link_receive(link_health& health, time_point now);
 
@@ -64,10 +51,8 @@
 void record_link_send(link_health& health, time_point now);
 
 [[nodiscard]] link_state
-state_of_link(const link_health& health, bool is_busy, time_point now);
+state_of_link(const link_health& health, time_point now);
 
-// Whether a heartbeat is due. `is_busy`: requests are in flight.
-[[nodiscard]] bool
-is_heartbeat_due(const link_health& health, bool is_busy, time_point now);
+[[nodiscard]] bool is_heartbeat_due(const link_health& health, time_point now);
 
 } // namespace cyclamenhold
--- a/tests/core/link_health_test.cpp
+++ b/tests/core/link_health_test.cpp
@@ -18,13 +18,13 @@
 
     // Runs for `time`; the peer answers each heartbeat while `answers`. Returns
     // the number of heartbeats sent.
-    int run(duration time, bool is_busy, bool answers)
+    int run(duration time, bool answers)
     {
         int sent = 0;
         for (const time_point end = now + time; now < end; now += 50ms)
         {
             begin_link_check(health, now);
-            if (is_heartbeat_due(health, is_busy, now))
+            if (is_heartbeat_due(health, now))
             {
                 ++sent;
                 health.last_heartbeat_at = now;
@@ -42,34 +42,29 @@
     time_point now{100s};
 };
 
-// Guards against heartbeats that make up most of the traffic of a large fleet.
-TEST(link_health, heartbeats_follow_the_use_of_a_link)
+// Guards against heartbeats of both sides, and on links with other frames.
+TEST(link_health, one_side_sends_heartbeats)
 {
     {
-        SCOPED_TRACE("a link without requests sends one a second");
+        SCOPED_TRACE("the side that dialled sends four a second");
         checked_link link(true);
-        EXPECT_EQ(link.run(10s, false, true), 9);
+        EXPECT_EQ(link.run(10s, true), 39);
     }
     {
-        SCOPED_TRACE("a link with requests in flight sends four a second");
-        checked_link link(true);
-        EXPECT_EQ(link.run(10s, true, true), 39);
-    }
-    {
-        SCOPED_TRACE("frames from the peer replace heartbeats");
+        SCOPED_TRACE("frames from the peer replace them");
         checked_link link(true);
         int sent = 0;
         for (int i = 0; i < 100; ++i)
         {
             record_link_receive(link.health, link.now);
-            sent += link.run(100ms, true, true);
+            sent += link.run(100ms, true);
         }
         EXPECT_EQ(sent, 0);
     }
     {
         SCOPED_TRACE("the side that did not dial only answers");
         checked_link link(false);
-        EXPECT_EQ(link.run(10s, true, false), 0);
+        EXPECT_EQ(link.run(10s, true), 0);
     }
 }
 
@@ -78,44 +73,29 @@
 TEST(link_health, silence_is_detected)
 {
     {
-        SCOPED_TRACE("with requests in flight: avoided, then given up");
-        checked_link link(true);
-        link.run(850ms, true, false);
-        EXPECT_EQ(
-            state_of_link(link.health, true, link.now), link_state::healthy);
-        link.run(50ms, true, false);
-        EXPECT_EQ(
-            state_of_link(link.health, true, link.now), link_state::avoided);
-        link.run(1'400ms, true, false);
-        EXPECT_EQ(
-            state_of_link(link.health, true, link.now), link_state::silent);
-    }
-    {
-        SCOPED_TRACE("without requests: within 3.1 s");
+        SCOPED_TRACE("avoided after 600 ms, given up after 2 s");
         checked_link link(true);
-        link.run(3'100ms, false, false);
-        EXPECT_EQ(
-            state_of_link(link.health, false, link.now), link_state::silent);
+        link.run(850ms, false);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::healthy);
+        link.run(50ms, false);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::avoided);
+        link.run(1'400ms, false);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::silent);
     }
     {
         SCOPED_TRACE("a request after a long idle time is not late at once");
         checked_link link(true);
-        link.run(30s, false, true);
+        link.run(30s, true);
         record_link_send(link.health, link.now);
-        EXPECT_EQ(
-            state_of_link(link.health, true, link.now), link_state::healthy);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::healthy);
     }
     {
-        SCOPED_TRACE("the side that did not dial ends requests after 2 s");
+        SCOPED_TRACE("the side that did not dial gives up after 2 s as well");
         checked_link link(false);
-        link.run(2'050ms, true, false);
-        EXPECT_EQ(
-            state_of_link(link.health, true, link.now), link_state::silent);
-        EXPECT_EQ(
-            state_of_link(link.health, false, link.now), link_state::healthy);
-        link.run(2s, false, false);
-        EXPECT_EQ(
-            state_of_link(link.health, false, link.now), link_state::silent);
+        link.run(2s, false);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::healthy);
+        link.run(50ms, false);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::silent);
     }
 }
 
@@ -128,16 +108,14 @@
     {
         SCOPED_TRACE(is_dialled_here);
         checked_link link(is_dialled_here);
-        link.run(300ms, true, false);
+        link.run(300ms, false);
         link.now += 5s;
         begin_link_check(link.health, link.now);
-        EXPECT_EQ(
-            state_of_link(link.health, true, link.now), link_state::healthy);
+        EXPECT_EQ(state_of_link(link.health, link.now), link_state::healthy);
         {
             SCOPED_TRACE("a peer that stays silent is given up after that");
-            link.run(2'100ms, true, false);
-            EXPECT_EQ(
-                state_of_link(link.health, true, link.now), link_state::silent);
+            link.run(2'100ms, false);
+            EXPECT_EQ(state_of_link(link.health, link.now), link_state::silent);
         }
     }
 }
