Count the silence of pools from the last one that answered

Cause: read in the code: a host whose first pool was silent for long used its whole 1/n as soon as the second became silent, though the pools need 3 s to detect that it is gone. Change: the shortest silence of all pools counts.

--- a/src/core/rates/token_pools.cpp
+++ b/src/core/rates/token_pools.cpp
@@ -31,8 +31,8 @@
 
 using pool_requests = std::map<host_id, std::vector<wire_rates::pool_item>>;
 
-// A single arrival must not raise the rate to one in the horizon, or each one
-// would take a second token that nobody uses.
+// The time constant of the rate is long enough that a single arrival does not
+// raise it to one in the horizon: a second token would expire unused.
 void sample_rate(entry_demand& demand, double arrivals, time_point now)
 {
     demand.arrivals += arrivals;
@@ -193,16 +193,17 @@
 silence_of_pools(const rates_context& context, std::uint32_t shard)
 {
     const auto& pools = context.state.pools;
-    time_point since = context.now;
+    duration silence = duration::max();
     for (const host_id host : pools.hosts.local[shard])
     {
         if (!is_silent(pools, host))
         {
             return std::nullopt;
         }
-        since = std::min(since, pools.contacts.at(host).silent_since);
+        silence = std::min(
+            silence, context.now - pools.contacts.at(host).silent_since);
     }
-    return context.now - since;
+    return pools.hosts.local[shard].empty() ? duration::zero() : silence;
 }
 
 void tick_token_pools(rates_context& context)
--- a/tests/core/token_pools_test.cpp
+++ b/tests/core/token_pools_test.cpp
@@ -152,6 +152,27 @@
     }
 }
 
+// Guards against a host that uses its whole part as soon as its last pool is
+// silent, because another one has been silent for long: the pools have not
+// detected yet that the host is gone.
+TEST(token_pools, silence_counts_from_the_last_pool_that_answered)
+{
+    large_fleet large(30, 100.0);
+    large.fleet.run_random(large.usual, 1s);
+    const std::uint32_t shard = shard_of(school);
+    sharing_host& host = *large.fleet.hosts[0];
+    const auto& pools = host.rates.pools.hosts.local[shard];
+    ASSERT_EQ(pools.size(), pool_hosts_per_data_centre);
+    const rates_inputs inputs{large.fleet.current, host.members, host.limiter};
+    control_actions actions;
+    const rates_context context{
+        host.rates, inputs, large.fleet.now, large.fleet.random, actions};
+    host.rates.pools.contacts[pools[0]].silent_since = large.fleet.now - 9s;
+    EXPECT_FALSE(silence_of_pools(context, shard));
+    host.rates.pools.contacts[pools[1]].silent_since = large.fleet.now - 200ms;
+    EXPECT_EQ(silence_of_pools(context, shard), duration(200ms));
+}
+
 // Guards against demand that is followed too slowly when the callers of one
 // data centre move to another.
 TEST(token_pools, demand_that_moves_is_followed_within_a_second)
