Send heartbeats beside other frames too

Change: the side that dialled sends one each 250 ms in any case. Test: link_health.answers_within_an_interval_are_in_time.

--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -534,9 +534,8 @@
         {
             link->services.on_peer_silent(link->connection->peer);
         }
-        if (is_heartbeat_due(health, at))
+        if (link->dialled_here)
         {
-            health.last_heartbeat_at = at;
             record_link_send(health, at);
             encode_heartbeat(link->connection->pending, ++sequence, false);
             flush(link->connection);
--- a/src/core/routing/link_health.cpp
+++ b/src/core/routing/link_health.cpp
@@ -1,6 +1,5 @@
 #include "core/routing/link_health.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace cyclamenhold
@@ -54,11 +53,4 @@
                                               : link_state::healthy;
 }
 
-bool is_heartbeat_due(const link_health& health, time_point now)
-{
-    return health.is_dialled_here &&
-           now - std::max(health.last_received_at, health.last_heartbeat_at) >=
-               heartbeat_interval;
-}
-
 } // namespace cyclamenhold
--- a/src/core/routing/link_health.hpp
+++ b/src/core/routing/link_health.hpp
@@ -11,7 +11,9 @@
 {
 
 // Interval of heartbeats, on idle links too: they detect that a link is silent
-// before a request is sent over it. None is sent while frames arrive.
+// before a request is sent over it. They are sent beside other frames as well,
+// so that a peer always has several hundred milliseconds for its answer before
+// peer_avoidance_timeout.
 constexpr duration heartbeat_interval = 250ms;
 // New requests avoid a peer that has been silent for this time although it has
 // frames to answer: another host costs them nothing, while requests under way
@@ -26,7 +28,6 @@
     // The oldest heartbeat or request since the last frame from the peer; zero
     // if there is none.
     time_point unanswered_since{};
-    time_point last_heartbeat_at{};
     time_point last_checked_at{};
 };
 
@@ -40,8 +41,8 @@
 };
 
 // Must be called before the functions below at each check. If the last check is
-// much longer ago than an interval, this process was paused: the time does not
-// count as silence of the peer, whose frames may still be unread.
+// much longer ago than heartbeat_interval, this process was paused: the time
+// does not count as silence of the peer, whose frames may still be unread.
 void begin_link_check(link_health& health, time_point now);
 
 // Records a frame from the peer.
@@ -53,6 +54,4 @@
 [[nodiscard]] link_state
 state_of_link(const link_health& health, time_point now);
 
-[[nodiscard]] bool is_heartbeat_due(const link_health& health, time_point now);
-
 } // namespace cyclamenhold
