--- a/tests/platform/upstream_messages_test.cpp
+++ b/tests/platform/upstream_messages_test.cpp
@@ -82,6 +82,56 @@
     }
 }
 
+// A heartbeat with these texts in place of the values of a valid one.
+std::string odd_heartbeat(
+    const std::string& address, const std::string& born,
+    const std::string& slots = "175", const std::string& sequence = "4")
+{
+    return R"({"address":)" + address + R"(,"born":)" + born +
+           R"(,"info":{"service":"shop","slots":)" + slots +
+           R"(},"status":{"state":"ready","seq":)" + sequence + "}}";
+}
+
+// Guards against an odd heartbeat of another writer that replaces the address
+// of the host's upstream, or ends the process that reads it.
+TEST(upstream_messages, odd_heartbeats_name_no_upstream)
+{
+    const std::string address = R"("10.1.0.9:8080")";
+    const std::string deep =
+        std::string(10'000, '[') + std::string(10'000, ']');
+    const std::string beyond_64_bits = "99999999999999999999";
+    ASSERT_TRUE(
+        std::holds_alternative<upstream_announcement>(parse_upstream_message(
+            "POST", "/instances/i-1/heartbeat", odd_heartbeat(address, "1"))));
+    for (const std::string& body :
+         {odd_heartbeat(R"("10.1.0.9:0")", "1"),
+          odd_heartbeat(R"("10.1.0.9:65536")", "1"),
+          odd_heartbeat(R"("10.1.0.9:-1")", "1"),
+          odd_heartbeat(R"("10.1.0.9:99999999999999999999")", "1"),
+          odd_heartbeat(R"("\ud800")", "1"), odd_heartbeat("1e999", "1"),
+          odd_heartbeat(address, beyond_64_bits), odd_heartbeat(address, "-1"),
+          odd_heartbeat(address, "1e999"), odd_heartbeat(address, R"("1")"),
+          odd_heartbeat(address, "null"), odd_heartbeat(address, deep),
+          odd_heartbeat(address, "1", beyond_64_bits),
+          odd_heartbeat(address, "1", "4294967297"),
+          odd_heartbeat(address, "1", "175", beyond_64_bits),
+          odd_heartbeat(address, "1", "175", deep), deep})
+    {
+        EXPECT_TRUE(std::holds_alternative<findings>(
+            parse_upstream_message("POST", "/instances/i-1/heartbeat", body)))
+            << body.substr(0, 200);
+    }
+    for (const std::string& body :
+         {std::string("\xff\xfe"), deep, std::string("7"),
+          std::string(R"({"born":1e999})"), std::string(R"({"born":"1"})")})
+    {
+        SCOPED_TRACE("a departure that cannot be read");
+        EXPECT_TRUE(std::holds_alternative<findings>(
+            parse_upstream_message("POST", "/instances/i-1/deregister", body)))
+            << body.substr(0, 200);
+    }
+}
+
 // Passes a heartbeat to the monitor. Returns the upstream's record if it
 // changed.
 std::optional<upstream_record>
