Measure the silence of a link from its last frame again

Cause: the silence of a dialled link was counted from the oldest unanswered heartbeat, up to 250 ms after the last frame, and an accepted link no longer made requests avoid its peer. What stays: only the side that dialled sends heartbeats, and a pause of this process does not count as silence of the peer. Tests: link_health.silence_is_detected, own_pause_is_not_silence_of_the_peer.

--- a/src/adapters/node_services.hpp
+++ b/src/adapters/node_services.hpp
@@ -55,7 +55,7 @@
     // Posts a control message of a peer to the control thread.
     std::function<void(host_id, message_kind, std::vector<std::uint8_t>)>
         on_control_message;
-    // Called when the peer has frames to answer and was silent for longer than
+    // Called when nothing was received from the peer for longer than
     // peer_avoidance_timeout.
     std::function<void(host_id)> on_peer_silent;
 };
--- a/src/adapters/peer_streams.cpp
+++ b/src/adapters/peer_streams.cpp
@@ -480,7 +480,6 @@
     stream->receive_credit = stream_window_bytes;
     work->on_reply_consumed = make_consumed_hook(link, stream, id);
     link->streams.emplace(id, stream);
-    record_link_send(link->health, now());
     work->unsent = false;
     encode_open_stream(
         link->connection->pending, id, work->context, work->head,
@@ -536,7 +535,6 @@
         }
         if (link->dialled_here)
         {
-            record_link_send(health, at);
             encode_heartbeat(link->connection->pending, ++sequence, false);
             flush(link->connection);
         }
@@ -584,8 +582,7 @@
 asio::awaitable<void> run_link(peer_link_ptr link)
 {
     link->ready = true;
-    link->health.is_dialled_here = link->dialled_here;
-    record_link_receive(link->health, now());
+    link->health.last_received_at = now();
     for (const auto& work : std::exchange(link->waiting, {}))
     {
         start_stream(link, work);
@@ -607,7 +604,7 @@
             }
             break;
         }
-        record_link_receive(link->health, now());
+        link->health.last_received_at = now();
         const wire::frame* const frame = decode_frame(payload);
         if (frame == nullptr || !dispatch_frame(link, *frame))
         {
