--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -50,7 +50,7 @@
 // may be on the other side of a network partition, with its data centre.
 constexpr duration demand_report_timeout = 3s;
 // The part of each rate that a starting host uses for the first `startup_time`,
-// while it knows no other host.
+// while the membership has no other host.
 constexpr double startup_share = 0.125;
 constexpr duration startup_time = 2s;
 
