Say in the log how long the platform gave no answer

Change: platform-unavailable of the configuration has the time that the failed call was out, platform-available the failed calls and the time since the last answer. Test: document_source.platform_events_say_how_long_no_answer_came.

--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -3,6 +3,8 @@
 #include "core/configuration/chain_format.hpp"
 #include "core/configuration/chain_platform.hpp"
 
+#include <absl/strings/str_format.h>
+
 #include <algorithm>
 
 namespace cyclamenhold
@@ -79,6 +81,11 @@
     state.call_expires_at += call.wait;
 }
 
+std::string seconds_since(time_point start, time_point now)
+{
+    return absl::StrFormat("%.3f s", to_seconds(now - start));
+}
+
 // The first findings, and how many there are.
 std::string summary_of(const findings& found)
 {
@@ -144,7 +151,8 @@
     record_platform_status(
         state, false,
         std::string(state.is_watch ? "watch: " : "read: ") +
-            std::string(name_of(reply.status)),
+            std::string(name_of(reply.status)) + " after " +
+            seconds_since(state.call_started_at, now),
         actions);
     const std::uint32_t doublings = std::min(state.failures, 4U);
     ++state.failures;
@@ -282,6 +290,7 @@
 void document_start(document_state& state, chain_state& chain, time_point now)
 {
     state.next_call_at = now;
+    state.answered_at = now;
     chain.applied_at = now;
 }
 
@@ -351,8 +360,13 @@
         record_failure(state, reply, now, random, actions);
         return;
     }
+    record_platform_status(
+        state, true,
+        "failed calls: " + std::to_string(state.failures) + ", last answer " +
+            seconds_since(state.answered_at, now) + " ago",
+        actions);
     state.failures = 0;
-    record_platform_status(state, true, {}, actions);
+    state.answered_at = now;
     if (!apply_entries(state, chain, reply, now, actions))
     {
         // No document exists yet, or none that can be parsed.
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -44,6 +44,8 @@
     time_point call_expires_at{};
     time_point next_call_at{};
     std::uint32_t failures = 0;
+    // When the platform last answered a call, or the start of this node.
+    time_point answered_at{};
     // The watch returns changes after this revision of the platform; zero if
     // the document must be read first.
     std::uint64_t platform_revision = 0;
--- a/tests/core/document_source_test.cpp
+++ b/tests/core/document_source_test.cpp
@@ -206,6 +206,36 @@
     }
 }
 
+// The log must tell a call that was given up late from a thread that ran late,
+// so it has the time that a failed call was out and the time without an answer.
+TEST(document_source, platform_events_say_how_long_no_answer_came)
+{
+    document_fixture node;
+    node.answer(
+        *node.next_call(), platform_status::ok, {{"document", "version 7", 1}},
+        1);
+    const auto watch = node.next_call();
+    ASSERT_TRUE(watch);
+    node.now += 1'250ms;
+    node.actions.events.clear();
+    node.answer(*watch, platform_status::unavailable);
+    ASSERT_EQ(node.actions.events.size(), 1U);
+    EXPECT_EQ(
+        node.actions.events.front().detail, "watch: unavailable after 1.250 s");
+    {
+        SCOPED_TRACE("the next answer");
+        node.now += 750ms;
+        const auto next = node.next_call();
+        ASSERT_TRUE(next);
+        node.actions.events.clear();
+        node.answer(*next, platform_status::ok, {}, 1);
+        ASSERT_EQ(node.actions.events.size(), 1U);
+        EXPECT_EQ(
+            node.actions.events.front().detail,
+            "failed calls: 1, last answer 2.000 s ago");
+    }
+}
+
 // A node that the platform refuses must get the document from a peer, and must
 // neither stop retrying nor retry without a pause.
 TEST(document_source, a_refused_node_gets_the_document_from_a_peer)
