Give up a silent watch sooner and check briefly after a failure

Symptom: on the badge mesh callers were handled by an older version of the configuration more than 2 s after a newer one was confirmed (CONFIG), once the store or the open connections to it had been silent. Cause: only a time limit shows a silence. A watch had 3.5 s, then a backoff of up to 1 s in each of two layers, and the next call was again a watch of 3.5 s. So a node could lack the newest version 4.5 s after the silence, 1.5 s longer than the time after which it counts as undisturbed. Peers hide that unless a change just before the silence has put all watches into the same phase. Class: a time limit chosen for the call alone, not for the bound that depends on it. Change: a watch has its 2 s, 0.5 s and the delay of the platform's last answer. After a failure the node sends short watches (50 ms, limit 1 s, then 1.5 s), and the time that a call was out counts as backoff. The calls and their limits move to document_calls. Test: document_silence.a_change_after_a_silence_is_in_force_within_three_seconds, for silences of 0 to 9 s in 41 phases of the watch, a node without peers. Before: 4.53 s (silent for 0 s, phase 0.05 s), bound 3 s; with the change it passes. Elsewhere: the chain of changes also reads every 2.5 to 7.5 s, so its watches hide no change.

--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -2,6 +2,7 @@
 
 #include "core/configuration/chain_format.hpp"
 #include "core/configuration/chain_platform.hpp"
+#include "core/configuration/document_calls.hpp"
 
 #include <absl/strings/str_format.h>
 
@@ -14,11 +15,6 @@
 
 using wire::configuration::message_body;
 
-constexpr duration read_timeout = 1s;
-// Added to the wait time of a watch, for a slow platform.
-constexpr duration watch_grace = 1'500ms;
-constexpr duration shortest_backoff = 100ms;
-constexpr duration longest_backoff = 1s;
 // A pull starts only this long after a peer has reported a newer version, since
 // the node's own watch usually returns it first.
 constexpr duration pull_delay = 250ms;
@@ -49,38 +45,6 @@
     }
 }
 
-platform_call& add_call(
-    document_state& state, platform_operation operation, duration timeout,
-    time_point now, control_actions& actions)
-{
-    platform_call call;
-    call.client = platform_client::configuration;
-    call.call_id = ++state.last_call_id;
-    call.operation = operation;
-    call.key = state.settings.key;
-    call.timeout = timeout;
-    state.call_id = call.call_id;
-    state.call_started_at = now;
-    state.call_expires_at = now + timeout + watch_grace;
-    actions.platform_calls.push_back(std::move(call));
-    return actions.platform_calls.back();
-}
-
-void start_call(document_state& state, time_point now, control_actions& actions)
-{
-    state.is_watch = state.platform_revision != 0;
-    if (!state.is_watch)
-    {
-        add_call(state, platform_operation::get, read_timeout, now, actions);
-        return;
-    }
-    auto& call =
-        add_call(state, platform_operation::watch, watch_grace, now, actions);
-    call.expected_version = state.platform_revision;
-    call.wait = state.settings.watch_time;
-    state.call_expires_at += call.wait;
-}
-
 std::string seconds_since(time_point start, time_point now)
 {
     return absl::StrFormat("%.3f s", to_seconds(now - start));
@@ -154,13 +118,7 @@
             std::string(name_of(reply.status)) + " after " +
             seconds_since(state.call_started_at, now),
         actions);
-    const std::uint32_t doublings = std::min(state.failures, 4U);
-    ++state.failures;
-    const duration bound =
-        std::min(shortest_backoff * (1 << doublings), longest_backoff);
-    state.next_call_at =
-        now + bound / 2 +
-        from_seconds(to_seconds(bound / 2) * random_fraction(random));
+    schedule_retry(state, now, random);
 }
 
 // The latest time at which the platform certainly had no newer version than
@@ -169,7 +127,7 @@
 time_point confirmed_at(
     const document_state& state, const platform_reply& reply, time_point now)
 {
-    const time_point waited = state.call_started_at + state.settings.watch_time;
+    const time_point waited = state.call_started_at + state.call_wait;
     return state.is_watch && reply.entries.empty() && now >= waited
                ? waited
                : state.call_started_at;
@@ -307,7 +265,7 @@
     }
     if (state.call_id == 0 && now >= state.next_call_at)
     {
-        start_call(state, now, actions);
+        start_document_call(state, now, actions);
     }
     pull_if_behind(state, chain, members, now, actions);
 }
@@ -365,19 +323,18 @@
         "failed calls: " + std::to_string(state.failures) + ", last answer " +
             seconds_since(state.answered_at, now) + " ago",
         actions);
-    state.failures = 0;
-    state.answered_at = now;
+    record_document_answer(state, reply, now);
     if (!apply_entries(state, chain, reply, now, actions))
     {
         // No document exists yet, or none that can be parsed.
-        state.next_call_at = now + shortest_backoff;
+        state.next_call_at = now + shortest_document_backoff;
         return;
     }
     state.next_call_at = now;
     chain.platform_read_at =
         std::max(chain.platform_read_at, confirmed_at(state, reply, now));
     state.platform_revision = std::max(state.platform_revision, reply.revision);
-    start_call(state, now, actions);
+    start_document_call(state, now, actions);
 }
 
 time_point document_due(const document_state& state)
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -41,11 +41,15 @@
     std::uint64_t last_call_id = 0;
     bool is_watch = false;
     time_point call_started_at{};
+    // How long the outstanding call waits for a change; zero for a read.
+    duration call_wait{};
     time_point call_expires_at{};
     time_point next_call_at{};
     std::uint32_t failures = 0;
     // When the platform last answered a call, or the start of this node.
     time_point answered_at{};
+    // How long the last answer took, without the wait of a watch.
+    duration answer_delay{};
     // The watch returns changes after this revision of the platform; zero if
     // the document must be read first.
     std::uint64_t platform_revision = 0;
