Close the platform's idle connections after a call without an answer

Once open connections to the platform are silent, a node that must read the document again (lost history) uses one idle connection after the other, and each costs the whole time limit of a call. Change: a call without an answer closes the idle connections of both pools. Test: platform_over_http.an_unanswered_call_gives_up_all_idle_connections. Before: the next call was unavailable as well, on the second idle connection.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -230,6 +230,11 @@
         pool, std::move(connection), std::move(call), deadline);
 }
 
+void close_idle_connections(http_pool& pool)
+{
+    pool.idle.clear();
+}
+
 std::string checksum_text(std::uint64_t hash)
 {
     std::array<char, 17> text{};
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -82,6 +82,9 @@
 [[nodiscard]] boost::asio::awaitable<http_result>
 http_send(http_pool& pool, http_call call);
 
+// Closes the idle connections, so that the next request opens a new one.
+void close_idle_connections(http_pool& pool);
+
 // Formats a checksum as it is sent in headers: 16 hexadecimal digits.
 [[nodiscard]] std::string checksum_text(std::uint64_t hash);
 
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -114,6 +114,10 @@
     const http_result result = co_await http_send(pool, std::move(request));
     if (result.status != http_call_status::answered)
     {
+        // What made this connection fail may have made the others fail as well,
+        // which only another time limit would show.
+        close_idle_connections(client.calls);
+        close_idle_connections(client.watches);
         record_failure(client);
         co_return unavailable_reply(call);
     }
