Keep to the rate that an upstream names in its replies

Cause: nothing read the field. The gate bounds how many requests run at once, so short requests pass it at any rate. Class: a limit of the other side that is published but not part of the protocol here. Change: the gate of an upstream has a token bucket at the rate of the newest reply (core/gate/rate_cap). All requests for an upstream pass its gate, so that bounds the sum over all nodes, whatever entry nodes know, and no node needs to be told. What does not fit waits in the queue, which shrinks to the concurrency that the rate sustains, or is refused as not run; that concurrency is also the limit in load reports, so that others send elsewhere. A new process of the upstream starts without a rate.

--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -52,6 +52,26 @@
     }
 }
 
+// Applies what a reply on this connection says about the upstream.
+void apply_notice(
+    local_gate& gate, const upstream_connection& connection,
+    const upstream_notice& notice)
+{
+    if (!is_current(gate.pool, connection))
+    {
+        return;
+    }
+    gate_decisions decisions;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        if (notice.rate != gate.gate.cap.rate)
+        {
+            decisions = gate_set_rate(gate.gate, notice.rate, now());
+        }
+    }
+    apply_decisions(gate, decisions);
+}
+
 // Sends one started request to the upstream and records its result at the gate.
 asio::awaitable<void> run_started(
     local_gate* gate, exchange_ptr work, gate_entry_id entry_id,
@@ -75,6 +95,10 @@
         report.downstream = record->downstream.read();
         return report;
     };
+    call.on_notice = [gate, connection](const upstream_notice& notice)
+    {
+        apply_notice(*gate, *connection, notice);
+    };
     call.returned_allowance = [record = request->record]
     {
         return record->allowance.close();
@@ -212,13 +236,15 @@
     local_gate& gate, const upstream_record& record,
     const upstream_address& address)
 {
-    if (record.state != upstream_state::absent)
-    {
-        set_address(gate.pool, address);
-    }
+    const bool is_new_process = record.state != upstream_state::absent &&
+                                set_address(gate.pool, address);
     gate_decisions decisions;
     {
         const std::scoped_lock lock(gate.mutex);
+        if (is_new_process)
+        {
+            cap_set(gate.gate.cap, std::nullopt, now());
+        }
         decisions = gate_set_upstream(gate.gate, record, now());
     }
     apply_decisions(gate, decisions);
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace cyclamenhold
 {
@@ -293,6 +294,22 @@
     co_return http::error::bad_field;
 }
 
+upstream_notice
+notice_of(const upstream_call& call, const response_parser& parser)
+{
+    upstream_notice notice;
+    const std::string_view text =
+        field_value(parser.get().base(), call.names->rate_limit);
+    double rate = 0.0;
+    if (const auto [end, error] =
+            std::from_chars(text.data(), text.data() + text.size(), rate);
+        error == std::errc() && end == text.data() + text.size())
+    {
+        notice.rate = rate;
+    }
+    return notice;
+}
+
 // True when the upstream reports that it has not run the request.
 bool is_not_run(const upstream_call& call, const response_parser& parser)
 {
@@ -339,6 +356,7 @@
     {
         co_return fail_call(call, error, failure_after(error));
     }
+    call.on_notice(notice_of(call, *parser));
     if (is_not_run(call, *parser))
     {
         co_return co_await forward_upstream_refusal(call, *parser);
--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -8,6 +8,7 @@
 #include "core/gate/gate.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace cyclamenhold
@@ -15,6 +16,13 @@
 
 constexpr auto upstream_connect_timeout = std::chrono::milliseconds(1'000);
 
+// What the upstream says about itself in the head of a reply.
+struct upstream_notice
+{
+    // Requests per second; absent if it names no rate.
+    std::optional<double> rate;
+};
+
 struct upstream_call
 {
     exchange_ptr work;
@@ -30,6 +38,9 @@
     // Returns the gate's load report; called when the reply's head has arrived
     // or the call has failed.
     std::function<load_report()> report;
+    // Called with the head of each reply to this request, refusals included,
+    // before it is forwarded.
+    std::function<void(const upstream_notice&)> on_notice;
     // Returns what the child calls have not used of the retry allowance.
     std::function<std::uint16_t()> returned_allowance;
 };
--- a/src/adapters/upstream_pool.cpp
+++ b/src/adapters/upstream_pool.cpp
@@ -40,20 +40,21 @@
 
 } // namespace
 
-void set_address(upstream_pool& pool, const upstream_address& address)
+bool set_address(upstream_pool& pool, const upstream_address& address)
 {
     const std::scoped_lock lock(pool.mutex);
     const auto& [endpoint, id, incarnation] = address;
     if (pool.endpoint == endpoint && pool.upstream_id == id &&
         pool.incarnation == incarnation)
     {
-        return;
+        return false;
     }
     pool.endpoint = endpoint;
     pool.upstream_id = id;
     pool.incarnation = incarnation;
     ++pool.generation;
     pool.idle.clear();
+    return true;
 }
 
 upstream_connection_ptr
@@ -73,6 +74,12 @@
     return connection;
 }
 
+bool is_current(upstream_pool& pool, const upstream_connection& connection)
+{
+    const std::scoped_lock lock(pool.mutex);
+    return connection.generation == pool.generation;
+}
+
 void return_connection(
     upstream_pool& pool, const upstream_connection_ptr& connection)
 {
--- a/src/adapters/upstream_pool.hpp
+++ b/src/adapters/upstream_pool.hpp
@@ -56,14 +56,19 @@
     std::vector<upstream_connection_ptr> idle;
 };
 
-// Sets the upstream's address. If it has changed, drops the idle connections.
-void set_address(upstream_pool& pool, const upstream_address& address);
+// Sets the upstream's address. If it has changed, drops the idle connections
+// and returns true.
+bool set_address(upstream_pool& pool, const upstream_address& address);
 
 // Takes an idle connection that is still open, or makes an unconnected one on
 // `executor`.
 [[nodiscard]] upstream_connection_ptr
 take_connection(upstream_pool& pool, const asio::any_io_executor& executor);
 
+// False for a connection to an earlier process or address of the upstream.
+[[nodiscard]] bool
+is_current(upstream_pool& pool, const upstream_connection& connection);
+
 // Returns a connection for reuse; drops it if the address has changed since.
 void return_connection(
     upstream_pool& pool, const upstream_connection_ptr& connection);
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -1,6 +1,7 @@
 #include "core/gate/gate.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cyclamenhold
@@ -20,9 +21,21 @@
            gate.upstream.state == upstream_state::warming;
 }
 
+// The limit of the upstream, or the lower concurrency that its rate sustains.
+// Bounds the queue and is reported to other nodes. It does not bound what runs:
+// single requests may take longer than the mean.
+std::uint32_t sustained_limit(const gate_state& gate, time_point now)
+{
+    const std::uint32_t limit = current_limit(gate.limit, now);
+    const auto capped = capped_concurrency(gate.cap, gate.limit.mean_latency);
+    return capped && *capped < limit
+               ? static_cast<std::uint32_t>(std::lround(*capped))
+               : limit;
+}
+
 std::size_t queue_bound(const gate_state& gate, time_point now)
 {
-    const std::size_t limit = current_limit(gate.limit, now);
+    const std::size_t limit = sustained_limit(gate, now);
     // With a reservation for calls, most queued requests are child calls. They
     // are short, and the requests that wait for them have already used
     // capacity, so the queue may be longer.
@@ -31,9 +44,10 @@
         min_queue_size, reserves_for_calls ? limit : limit / queue_divisor);
 }
 
-bool has_free_slot(const gate_state& gate, time_point now)
+bool may_start(const gate_state& gate, time_point now)
 {
-    return gate.running.size() < current_limit(gate.limit, now);
+    return gate.running.size() < current_limit(gate.limit, now) &&
+           cap_allows(gate.cap, now);
 }
 
 // Root requests leave a part of the limit to child calls.
@@ -66,6 +80,7 @@
                               request.context.digest, request.context.priority,
                               request.suspect, request.context.depth == 0});
     gate.running_roots += request.context.depth == 0 ? 1 : 0;
+    cap_record_start(gate.cap, now);
     gate.suspect_running = gate.suspect_running || request.suspect;
     admission_record_start(
         gate.admission, request.context.priority, now - request.arrived);
@@ -95,8 +110,7 @@
 
 void start_suspect(gate_state& gate, time_point now, gate_decisions& decisions)
 {
-    if (gate.suspects.empty() || gate.suspect_running ||
-        !has_free_slot(gate, now))
+    if (gate.suspects.empty() || gate.suspect_running || !may_start(gate, now))
     {
         return;
     }
@@ -116,7 +130,7 @@
     const queue_order order = gate.admission.overloaded
                                   ? queue_order::newest_first
                                   : queue_order::oldest_first;
-    while (queue_size(gate.queue) > 0 && has_free_slot(gate, now))
+    while (queue_size(gate.queue) > 0 && may_start(gate, now))
     {
         // Child calls are of the most important class.
         const priority_class lowest = has_free_root_slot(gate, now)
@@ -209,6 +223,18 @@
     return decisions;
 }
 
+gate_decisions
+gate_set_rate(gate_state& gate, std::optional<double> rate, time_point now)
+{
+    gate_decisions decisions;
+    cap_set(gate.cap, rate, now);
+    if (is_accepting(gate))
+    {
+        start_queued(gate, now, decisions);
+    }
+    return decisions;
+}
+
 gate_decisions
 gate_offer(gate_state& gate, gate_request request, time_point now)
 {
@@ -301,7 +327,7 @@
     report.in_flight = static_cast<std::uint32_t>(gate.running.size());
     report.queued = static_cast<std::uint32_t>(
         queue_size(gate.queue) + gate.suspects.size());
-    report.limit = current_limit(gate.limit, now);
+    report.limit = sustained_limit(gate, now);
     report.latency = gate.limit.mean_latency;
     report.level = level_of(gate.admission);
     return report;
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -9,10 +9,12 @@
 #include "core/gate/admission.hpp"
 #include "core/gate/concurrency_limit.hpp"
 #include "core/gate/fair_queue.hpp"
+#include "core/gate/rate_cap.hpp"
 #include "core/routing/upstream.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -69,6 +71,7 @@
     gate_settings settings;
     upstream_record upstream;
     concurrency_limit limit;
+    rate_cap cap;
     std::unordered_map<gate_entry_id, gate_running> running;
     fair_queue queue;
     // Suspects wait here and run one at a time, so that a crash during a
@@ -84,6 +87,11 @@
 [[nodiscard]] gate_decisions gate_set_upstream(
     gate_state& gate, const upstream_record& record, time_point now);
 
+// Applies the rate that the upstream's newest reply names; absent if it names
+// none.
+[[nodiscard]] gate_decisions
+gate_set_rate(gate_state& gate, std::optional<double> rate, time_point now);
+
 // Offers a request, which is started, refused or queued. A queued request gets
 // its decision from a later call. The decisions may also refuse a less
 // important request that was queued earlier.
--- a/src/ports/protocol_profile.hpp
+++ b/src/ports/protocol_profile.hpp
@@ -46,6 +46,9 @@
     // From the upstream: its signature of the reply. A success reply without
     // it does not come from the upstream.
     std::string signature;
+    // From the upstream: the requests per second that it takes. Holds until a
+    // reply without it.
+    std::string rate_limit = "Cyclamen-Rate-Limit";
     // Whether Retry-After may have fractions of a second.
     bool fractional_retry_after = false;
     // Whether the caller's Host field is forwarded to the upstream.
