Stop sending to an upstream whose replies say that it leaves

Cause: a departure was learned from announcements only. Class: as with the rate, the other side states it and nothing here reads it. Change: the first such reply of an incarnation drains the upstream as an announcement of draining does. Only a reply that carries the id of its request, on a connection to the current process, counts; a later process starts afresh. Test: upstream_notices.an_upstream_that_says_it_leaves_gets_no_more_requests.

--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -477,6 +477,19 @@
         });
 }
 
+void post_upstream_leaving(control_loop& loop, std::uint64_t incarnation)
+{
+    asio::post(
+        loop.io,
+        [&loop, incarnation]
+        {
+            if (loop.upstream.incarnation == incarnation)
+            {
+                publish_upstream(loop, on_drain(loop.upstream));
+            }
+        });
+}
+
 void post_upstream_crash(
     control_loop& loop, const std::vector<std::uint64_t>& digests)
 {
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -97,6 +97,8 @@
 void post_announcement(
     control_loop& loop, const upstream_announcement& announcement);
 void post_upstream_drain(control_loop& loop);
+// Reports that a reply of this incarnation of the upstream said that it leaves.
+void post_upstream_leaving(control_loop& loop, std::uint64_t incarnation);
 void post_upstream_leave(
     control_loop& loop, const upstream_departure& departure);
 // Reports that the local upstream crashed while requests with these digests
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/strings/str_format.h>
 
+#include <utility>
+
 namespace cyclamenhold
 {
 namespace
@@ -57,18 +59,30 @@
     local_gate& gate, const upstream_connection& connection,
     const upstream_notice& notice)
 {
-    if (!is_current(gate.pool, connection))
+    const auto incarnation = incarnation_of(gate.pool, connection);
+    if (!incarnation)
     {
         return;
     }
+    bool is_first_leave = false;
     gate_decisions decisions;
     {
         const std::scoped_lock lock(gate.mutex);
+        if (notice.is_leaving)
+        {
+            is_first_leave =
+                std::exchange(gate.leaving_incarnation, *incarnation) !=
+                *incarnation;
+        }
         if (notice.rate != gate.gate.cap.rate)
         {
             decisions = gate_set_rate(gate.gate, notice.rate, now());
         }
     }
+    if (is_first_leave)
+    {
+        gate.on_leaving(*incarnation);
+    }
     apply_decisions(gate, decisions);
 }
 
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -31,6 +31,9 @@
     // Guarded by mutex, as is `waiting`.
     gate_state gate;
     std::unordered_map<gate_entry_id, exchange_ptr> waiting;
+    // The last incarnation of the upstream that was reported as leaving;
+    // guarded by mutex.
+    std::uint64_t leaving_incarnation = 0;
     std::atomic<gate_entry_id> next_entry_id{1};
     // Requests that are running now.
     std::atomic<std::uint32_t> running{0};
@@ -39,6 +42,9 @@
     // the requests in flight, and a suspect request that succeeded.
     std::function<void(const std::vector<std::uint64_t>&)> on_crash;
     std::function<void(std::uint64_t)> on_suspect_success;
+    // Reports to the control thread that a reply of this incarnation of the
+    // upstream said that it leaves.
+    std::function<void(std::uint64_t)> on_leaving;
     // Has the control thread check whether a claim is still valid, and calls
     // back with the result.
     std::function<void(const claim_grant&, std::function<void(bool)>)>
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -315,6 +315,10 @@
     {
         post_suspect_success(node.control, digest);
     };
+    node.gate.on_leaving = [&node](std::uint64_t incarnation)
+    {
+        post_upstream_leaving(node.control, incarnation);
+    };
     node.upstream_side.announce =
         [&node](const upstream_announcement& announcement)
     {
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -307,6 +307,8 @@
     {
         notice.rate = rate;
     }
+    notice.is_leaving =
+        field_value(parser.get().base(), call.names->leaving) == "1";
     return notice;
 }
 
--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -21,6 +21,8 @@
 {
     // Requests per second; absent if it names no rate.
     std::optional<double> rate;
+    // Its process accepts requests for a short time only.
+    bool is_leaving = false;
 };
 
 struct upstream_call
--- a/src/adapters/upstream_pool.cpp
+++ b/src/adapters/upstream_pool.cpp
@@ -74,10 +74,13 @@
     return connection;
 }
 
-bool is_current(upstream_pool& pool, const upstream_connection& connection)
+std::optional<std::uint64_t>
+incarnation_of(upstream_pool& pool, const upstream_connection& connection)
 {
     const std::scoped_lock lock(pool.mutex);
-    return connection.generation == pool.generation;
+    return connection.generation == pool.generation
+               ? std::optional(pool.incarnation)
+               : std::nullopt;
 }
 
 void return_connection(
--- a/src/adapters/upstream_pool.hpp
+++ b/src/adapters/upstream_pool.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,9 +66,10 @@
 [[nodiscard]] upstream_connection_ptr
 take_connection(upstream_pool& pool, const asio::any_io_executor& executor);
 
-// False for a connection to an earlier process or address of the upstream.
-[[nodiscard]] bool
-is_current(upstream_pool& pool, const upstream_connection& connection);
+// The incarnation of the upstream at the other end; nullopt for a connection to
+// an earlier process or address.
+[[nodiscard]] std::optional<std::uint64_t>
+incarnation_of(upstream_pool& pool, const upstream_connection& connection);
 
 // Returns a connection for reuse; drops it if the address has changed since.
 void return_connection(
--- a/src/ports/protocol_profile.hpp
+++ b/src/ports/protocol_profile.hpp
@@ -49,6 +49,8 @@
     // From the upstream: the requests per second that it takes. Holds until a
     // reply without it.
     std::string rate_limit = "Cyclamen-Rate-Limit";
+    // From the upstream: "1" if its process leaves.
+    std::string leaving = "Cyclamen-Leaving";
     // Whether Retry-After may have fractions of a second.
     bool fractional_retry_after = false;
     // Whether the caller's Host field is forwarded to the upstream.
--- a/tests/process/upstream_notice_test.cpp
+++ b/tests/process/upstream_notice_test.cpp
@@ -30,14 +30,7 @@
     {
         hosts.add_node();
         hosts.add_node();
-        upstream = std::make_unique<scripted_upstream>(
-            hosts.nodes[1]->endpoint("upstream"), "notes",
-            [this](const scripted_request&, scripted_reply& reply)
-            {
-                ++received;
-                const std::scoped_lock lock(mutex);
-                return reply.write(reply_with(fields));
-            });
+        start_upstream();
         hosts.configure(
             {{{"op", "put-data-centre"},
               {"name", "brno"},
@@ -54,6 +47,18 @@
         ASSERT_TRUE(hosts.wait_until_served(1, "/notes", {}));
     }
 
+    void start_upstream()
+    {
+        upstream = std::make_unique<scripted_upstream>(
+            hosts.nodes[1]->endpoint("upstream"), "notes",
+            [this](const scripted_request&, scripted_reply& reply)
+            {
+                ++received;
+                const std::scoped_lock lock(mutex);
+                return reply.write(reply_with(fields));
+            });
+    }
+
     void set_fields(const std::string& text)
     {
         const std::scoped_lock lock(mutex);
@@ -117,5 +122,40 @@
     }
 }
 
+// An upstream whose replies said that it leaves got requests until its next
+// announcement said so, or for good (DRAIN).
+TEST_F(upstream_notices, an_upstream_that_says_it_leaves_gets_no_more_requests)
+{
+    start();
+    set_fields("Cyclamen-Leaving: 1\r\n");
+    ASSERT_TRUE(hosts.wait_until_served(0, "/notes", {}));
+    send_for(std::chrono::milliseconds(500));
+    received = 0;
+    const int refused = send_for(std::chrono::seconds(1));
+    EXPECT_EQ(received, 0);
+    EXPECT_GT(refused, 0);
+    {
+        SCOPED_TRACE("a new process is used");
+        set_fields("");
+        upstream = nullptr;
+        start_upstream();
+        EXPECT_TRUE(hosts.wait_until_served(0, "/notes", {}));
+    }
+}
+
+// Values other than 1 must not take an upstream out.
+TEST_F(upstream_notices, other_values_of_leaving_are_ignored)
+{
+    start();
+    for (const char* value : {"0", "", "yes", "1x", "-1"})
+    {
+        SCOPED_TRACE(value);
+        set_fields(std::string("Cyclamen-Leaving: ") + value + "\r\n");
+        ASSERT_TRUE(hosts.wait_until_served(0, "/notes", {}));
+        send_for(std::chrono::milliseconds(200));
+        EXPECT_TRUE(hosts.wait_until_served(1, "/notes", {}));
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
