Refuse new requests from the middle of a planned stop

Cause: new requests were refused 1.5 s plus two fifths of the rest after the signal. With the 5.4 s of the deployment that is at 3.06 s and leaves 2.3 s; a request that was taken last and runs for longer is cut. Change: new requests are refused from the middle of the stop on, so that each one that is taken has at least its second half.

--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -659,7 +659,8 @@
 stop_node(node_runtime& node, const std::atomic<bool>& abort_requests)
 {
     record_lifecycle(node, event_kind::node_stopping, node.settings.name);
-    const time_point until = now() + node.settings.stop_timeout;
+    const time_point start = now();
+    const time_point until = start + node.settings.stop_timeout;
     // Callers are still served, but each reply closes its connection, so that
     // the next one is opened to another node.
     node.services.path.draining = true;
@@ -680,7 +681,8 @@
     }
     // The port for callers stays open until the end: a refusal gives them a
     // reason, a closed port does not.
-    const time_point refusal_start = now() + (until - now()) * 2 / 5;
+    // Requests that are taken have the second half of the stop at least.
+    const time_point refusal_start = start + (until - start) / 2;
     std::size_t left = wait_until_drained(node, abort_requests, refusal_start);
     node.services.path.refuses_new = true;
     left = wait_until_drained(node, abort_requests, until);
--- a/tests/process/fleet_processes.hpp
+++ b/tests/process/fleet_processes.hpp
@@ -232,6 +232,7 @@
             {"fleet_secret", fleet_secret},
             {"operator_credential", operator_credential},
             {"platform", platform.endpoint("listening")},
+            {"stop_timeout_ms", stop_timeout.count()},
             {"log", json::object{{"level", "error"}}}});
         nodes.push_back(std::make_unique<process>(
             std::vector<std::string>{"cyclamen-node", "--settings", path}));
@@ -296,6 +297,8 @@
             });
     }
 
+    // For the nodes added from now on.
+    std::chrono::milliseconds stop_timeout{30'000};
     process platform;
     std::vector<std::unique_ptr<process>> nodes;
     std::vector<std::unique_ptr<process>> upstreams;
