Never resend a request on a connection that refused it

Symptom (report of another operator, now a test): an upstream wrote an earlier refusal once more on a kept connection. If the same request was sent to it again on that connection, the second copy carried the right id: the caller was told "not run" while the upstream ran the request (REFUSED), or it was run by another as well (TWICE). Cause: replies are matched by the id of the request alone, which a resent request shares with its earlier attempt. After a refusal bytes that were left in the connection's buffer were kept as well. Change: a connection notes the ids that the upstream refused on it; such a request gets another one. A connection with left-over bytes, with a stray reply or without ids of requests is not used again after a refusal, nor one with 64 refusals. Test: upstream_client.a_refusal_written_twice_ends_no_later_request.

--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -141,7 +141,10 @@
 {
     ++gate.running;
     record(gate, event_kind::gate_started, *work, {});
-    auto connection = take_connection(gate.pool, work->body.get_executor());
+    auto connection = take_connection(
+        gate.pool, work->body.get_executor(),
+        field_value(
+            work->head.headers, gate.services.profile.headers.request_id));
     const auto executor = connection->stream.get_executor();
     asio::co_spawn(
         executor, run_started(&gate, work, entry_id, std::move(connection)),
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -320,6 +320,24 @@
            !field_value(parser.get().base(), call.names->not_run).empty();
 }
 
+// Notes the refusal at its connection. False if the connection can't be used
+// again: it has bytes that belong to no request, or a copy of the refusal could
+// not be told from the reply to another request.
+bool record_refusal(const upstream_call& call, upstream_connection& connection)
+{
+    constexpr std::size_t max_refused_ids = 64;
+    const auto id =
+        field_value(call.work->head.headers, call.names->request_id);
+    if (id.empty() || connection.had_stray_reply ||
+        connection.buffer.size() != 0 ||
+        connection.refused_ids.size() >= max_refused_ids)
+    {
+        return false;
+    }
+    connection.refused_ids.emplace_back(id);
+    return true;
+}
+
 // Reports an upstream's own refusal as a node refusal, so that the request can
 // be sent to another upstream.
 asio::awaitable<upstream_result>
@@ -329,13 +347,14 @@
     const unsigned status = parser.get().result_int();
     const bool shed = status == 503 || status == 429;
     const auto error = co_await skip_body(call, parser);
+    const bool reusable =
+        !error && keep_alive && record_refusal(call, *call.connection);
     set_abort(*call.work, nullptr);
     fail(
         *call.work, {refusal::upstream_failed, outcome::not_run}, call.report(),
         call.returned_allowance());
     co_return upstream_result{
-        shed ? gate_result::shed : gate_result::failed, false,
-        !error && keep_alive};
+        shed ? gate_result::shed : gate_result::failed, false, reusable};
 }
 
 // True for a 2xx reply without the upstream's signature. It is rejected,
--- a/src/adapters/upstream_pool.cpp
+++ b/src/adapters/upstream_pool.cpp
@@ -19,6 +19,13 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool has_refused(
+    const upstream_connection& connection, std::string_view request_id)
+{
+    return std::ranges::find(connection.refused_ids, request_id) !=
+           connection.refused_ids.end();
+}
+
 // Takes the newest idle connection of this thread, or else of any thread. A
 // request that stays on its thread saves two thread wake-ups.
 upstream_connection_ptr
@@ -57,17 +64,24 @@
     return true;
 }
 
-upstream_connection_ptr
-take_connection(upstream_pool& pool, const asio::any_io_executor& executor)
+upstream_connection_ptr take_connection(
+    upstream_pool& pool, const asio::any_io_executor& executor,
+    std::string_view request_id)
 {
     const std::scoped_lock lock(pool.mutex);
     while (!pool.idle.empty())
     {
         auto connection = take_idle(pool, executor);
-        if (is_reusable(*connection))
+        if (!is_reusable(*connection))
+        {
+            continue;
+        }
+        if (!has_refused(*connection, request_id))
         {
             return connection;
         }
+        pool.idle.push_back(std::move(connection));
+        break;
     }
     auto connection = std::make_shared<upstream_connection>(executor);
     connection->generation = pool.generation;
--- a/src/adapters/upstream_pool.hpp
+++ b/src/adapters/upstream_pool.hpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenhold
@@ -34,6 +35,9 @@
     bool had_stray_reply = false;
     // Has carried a request before.
     bool used = false;
+    // The ids of requests that the upstream refused on it. A second copy of
+    // such a refusal may follow at any time and would match the same request.
+    std::vector<std::string> refused_ids;
 };
 
 using upstream_connection_ptr = std::shared_ptr<upstream_connection>;
@@ -61,10 +65,12 @@
 // and returns true.
 bool set_address(upstream_pool& pool, const upstream_address& address);
 
-// Takes an idle connection that is still open, or makes an unconnected one on
-// `executor`.
-[[nodiscard]] upstream_connection_ptr
-take_connection(upstream_pool& pool, const asio::any_io_executor& executor);
+// Takes an idle connection that is still open and on which the upstream has not
+// refused this request before, or makes an unconnected one on `executor`. The
+// id is empty if requests have none.
+[[nodiscard]] upstream_connection_ptr take_connection(
+    upstream_pool& pool, const asio::any_io_executor& executor,
+    std::string_view request_id);
 
 // The incarnation of the upstream at the other end; nullopt for a connection to
 // an earlier process or address.
--- /dev/null
+++ b/tests/adapters/upstream_client_test.cpp
@@ -0,0 +1,237 @@
+// One request to an upstream whose replies are written byte by byte.
+#include "adapters/clock.hpp"
+#include "adapters/upstream_client.hpp"
+#include "platform/headers.hpp"
+
+#include <boost/beast/http.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+std::string reply_of(
+    const std::string& status, const std::string& id, const std::string& fields)
+{
+    return "HTTP/1.1 " + status + "\r\nX-Cyclamenhold-Request-Id: " + id +
+           "\r\n" + fields + "\r\n";
+}
+
+std::string refusal_of(const std::string& id)
+{
+    return reply_of(
+        "503 Service Unavailable", id,
+        "X-Cyclamenhold-Not-Executed: 1\r\nContent-Length: 0\r\n");
+}
+
+std::string success_of(const std::string& id)
+{
+    return reply_of(
+               "200 OK", id,
+               "X-Cyclamenhold-Response-Signature: s\r\nContent-Length: "
+               "2\r\n") +
+           "ok";
+}
+
+// The bytes that the upstream writes for its n-th request, counted over all
+// connections, with that request's number on its connection. It closes the
+// connection after an empty answer and after one that ends with `closing`.
+using answer_script = std::function<std::string(int number, int on_connection)>;
+const std::string closing = "<close>";
+
+struct call_outcome
+{
+    unsigned status = 0;
+    std::string body;
+    bool is_complete = false;
+    std::optional<outcome> failure;
+};
+
+struct scripted_connection_server
+{
+    explicit scripted_connection_server(answer_script answers)
+        : script(std::move(answers))
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+        set_address(pool, {acceptor.local_endpoint(), "i-1", 1});
+    }
+
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            auto [error, socket] = co_await acceptor.async_accept(as_result);
+            if (error)
+            {
+                co_return;
+            }
+            asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        for (int on_connection = 1;; ++on_connection)
+        {
+            http::request<http::string_body> request;
+            const auto [error, size] =
+                co_await http::async_read(socket, buffer, request, as_result);
+            if (error)
+            {
+                co_return;
+            }
+            std::string bytes = script(++requests, on_connection);
+            const bool closes = bytes.ends_with(closing);
+            if (closes)
+            {
+                bytes.resize(bytes.size() - closing.size());
+            }
+            co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+            if (closes)
+            {
+                co_return;
+            }
+        }
+    }
+
+    // Sends a request as the gate does, on a pooled connection.
+    call_outcome send(const std::string& id)
+    {
+        auto work = std::make_shared<exchange>(io.get_executor(), 4, 64);
+        work->head.method = "POST";
+        work->head.target = "/order";
+        work->head.headers = {{"X-Cyclamenhold-Request-Id", id}};
+        work->context.deadline = now() + 2s;
+        work->body.try_send(boost::system::error_code(), body_chunk{"", true});
+        upstream_call call;
+        call.work = work;
+        call.connection = take_connection(pool, io.get_executor(), id);
+        call.endpoint = acceptor.local_endpoint();
+        call.names = &names;
+        call.report = []
+        {
+            return load_report{};
+        };
+        call.on_notice = [](const upstream_notice&) {};
+        call.returned_allowance = []
+        {
+            return std::uint16_t{0};
+        };
+        const auto connection = call.connection;
+        std::optional<upstream_result> result;
+        asio::co_spawn(
+            io, call_upstream(std::move(call)),
+            [&](const std::exception_ptr&, const upstream_result& ended)
+            {
+                result = ended;
+            });
+        const time_point limit = now() + 10s;
+        while (!result && now() < limit)
+        {
+            io.run_one_for(20ms);
+        }
+        EXPECT_TRUE(result);
+        if (result && result->reusable)
+        {
+            return_connection(pool, connection);
+        }
+        return read_outcome(*work);
+    }
+
+    static call_outcome read_outcome(exchange& work)
+    {
+        call_outcome read;
+        const auto on_event = [&](const boost::system::error_code& error,
+                                  const reply_event& event)
+        {
+            if (error)
+            {
+                return;
+            }
+            read.status = event.head ? event.head->status : read.status;
+            read.body += event.bytes;
+            read.is_complete = read.is_complete || event.last;
+            if (event.failure)
+            {
+                read.failure = event.failure->result;
+            }
+        };
+        while (work.reply.try_receive(on_event))
+        {
+        }
+        return read;
+    }
+
+    asio::io_context io{1};
+    tcp::acceptor acceptor{io, {asio::ip::address_v4::loopback(), 0}};
+    header_names names = platform::platform_header_names();
+    upstream_pool pool;
+    answer_script script;
+    int requests = 0;
+};
+
+// An upstream wrote a refusal twice on a kept connection. The same request,
+// sent to it again, met the second copy: its caller was told "not run" while
+// the upstream ran it (REFUSED), or it ran at another upstream as well (TWICE).
+TEST(upstream_client, a_refusal_written_twice_ends_no_later_request)
+{
+    {
+        SCOPED_TRACE("both copies at once");
+        scripted_connection_server upstream(
+            [](int number, int)
+            {
+                return number == 1 ? refusal_of("a") + refusal_of("a")
+                                   : success_of("a");
+            });
+        EXPECT_EQ(upstream.send("a").failure, outcome::not_run);
+        EXPECT_EQ(upstream.send("a").status, 200U);
+    }
+    {
+        SCOPED_TRACE("the second copy when the next reply is due");
+        scripted_connection_server upstream(
+            [](int number, int on_connection)
+            {
+                return number == 1          ? refusal_of("a")
+                       : on_connection == 1 ? success_of("a")
+                                            : refusal_of("a") + success_of("a");
+            });
+        EXPECT_EQ(upstream.send("a").failure, outcome::not_run);
+        EXPECT_EQ(upstream.send("a").status, 200U);
+    }
+    {
+        SCOPED_TRACE("other requests on the connection are not affected");
+        scripted_connection_server upstream(
+            [](int number, int)
+            {
+                return number == 1 ? refusal_of("a")
+                                   : refusal_of("a") + success_of("b");
+            });
+        EXPECT_EQ(upstream.send("a").failure, outcome::not_run);
+        EXPECT_EQ(upstream.send("b").status, 200U);
+    }
+    {
+        SCOPED_TRACE("a refusal without an id belongs to no request");
+        scripted_connection_server upstream(
+            [](int, int)
+            {
+                return "HTTP/1.1 503 Busy\r\nX-Cyclamenhold-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n" +
+                       success_of("a");
+            });
+        EXPECT_EQ(upstream.send("a").status, 200U);
+    }
+}
+
+} // namespace
+} // namespace cyclamenhold
