Test replies whose head stops anywhere

None is forwarded as complete, each is reported as unknown, and no head is forwarded before its end.

--- a/tests/adapters/upstream_client_test.cpp
+++ b/tests/adapters/upstream_client_test.cpp
@@ -233,5 +233,29 @@
     }
 }
 
+// An upstream that stops in the head of its reply and closes must not look like
+// one with an empty or short body (MIXED, ORDER).
+TEST(upstream_client, a_head_that_stops_anywhere_is_no_reply)
+{
+    const std::string whole = success_of("a");
+    const std::size_t head_size = whole.size() - 2;
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        SCOPED_TRACE(size);
+        scripted_connection_server upstream(
+            [&](int, int)
+            {
+                return whole.substr(0, size) + closing;
+            });
+        const auto received = upstream.send("a");
+        EXPECT_FALSE(received.is_complete);
+        EXPECT_EQ(received.failure, outcome::unknown);
+        if (size < head_size)
+        {
+            EXPECT_EQ(received.status, 0U);
+        }
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
