--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -2,11 +2,11 @@
 
 #include "adapters/clock.hpp"
 #include "adapters/http_fields.hpp"
+#include "adapters/upstream_reply_head.hpp"
 
 #include <boost/beast/http.hpp>
 
 #include <array>
-#include <charconv>
 
 namespace cyclamenhold
 {
@@ -16,8 +16,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-using response_parser = http::response_parser<http::buffer_body>;
-
 constexpr std::uint32_t max_reply_header_bytes = 64 * 1024;
 constexpr unsigned http_version_1_1 = 11;
 
@@ -214,28 +212,6 @@
     co_return error;
 }
 
-reply_event make_head_event(upstream_call& call, response_parser& parser)
-{
-    reply_event event;
-    reply_head head;
-    head.status = static_cast<std::uint16_t>(parser.get().result_int());
-    head.headers = returned_fields(parser.get().base());
-    if (const auto length = parser.content_length())
-    {
-        head.body_size = *length;
-    }
-    event.head = std::move(head);
-    event.load = call.report();
-    event.returned_allowance = call.returned_allowance();
-    return event;
-}
-
-// True for a reply without a body: one to HEAD, or with a status that has none.
-bool is_bodyless(const upstream_call& call, unsigned status)
-{
-    return call.work->head.method == "HEAD" || status == 204 || status == 304;
-}
-
 // Reads and drops the rest of a reply's body.
 asio::awaitable<beast::error_code>
 skip_body(upstream_call& call, response_parser& parser)
@@ -254,16 +230,6 @@
     co_return beast::error_code();
 }
 
-// True for a stray reply: a late second reply to an earlier request on this
-// connection.
-bool is_of_other_request(
-    const upstream_call& call, const response_parser& parser)
-{
-    const std::string& name = call.names->request_id;
-    const auto sent = field_value(call.work->head.headers, name);
-    return !sent.empty() && field_value(parser.get().base(), name) != sent;
-}
-
 // Reads the head of the reply to this request into `parser`; skips stray
 // replies.
 asio::awaitable<beast::error_code> read_matching_head(
@@ -294,32 +260,6 @@
     co_return http::error::bad_field;
 }
 
-upstream_notice
-notice_of(const upstream_call& call, const response_parser& parser)
-{
-    upstream_notice notice;
-    const std::string_view text =
-        field_value(parser.get().base(), call.names->rate_limit);
-    double rate = 0.0;
-    if (const auto [end, error] =
-            std::from_chars(text.data(), text.data() + text.size(), rate);
-        error == std::errc() && end == text.data() + text.size())
-    {
-        notice.rate = rate;
-    }
-    notice.is_leaving =
-        field_value(parser.get().base(), call.names->leaving) == "1";
-    return notice;
-}
-
-// True when the upstream reports that it has not run the request.
-bool is_not_run(const upstream_call& call, const response_parser& parser)
-{
-    constexpr unsigned misdirected = 421;
-    return parser.get().result_int() == misdirected ||
-           !field_value(parser.get().base(), call.names->not_run).empty();
-}
-
 // Notes the refusal at its connection. False if the connection can't be used
 // again: it has bytes that belong to no request, or a copy of the refusal could
 // not be told from the reply to another request.
@@ -357,16 +297,6 @@
         shed ? gate_result::shed : gate_result::failed, false, reusable};
 }
 
-// True for a 2xx reply without the upstream's signature. It is rejected,
-// because another process may have sent it.
-bool lacks_signature(const upstream_call& call, const response_parser& parser)
-{
-    const unsigned status = parser.get().result_int();
-    const std::string& name = call.names->signature;
-    return !name.empty() && status >= 200 && status < 300 &&
-           field_value(parser.get().base(), name).empty();
-}
-
 // Forwards the reply to the exchange. The head is sent with the first piece.
 asio::awaitable<upstream_result> receive_reply(upstream_call& call)
 {
--- /dev/null
+++ b/src/adapters/upstream_reply_head.cpp
@@ -0,0 +1,73 @@
+#include "adapters/upstream_reply_head.hpp"
+
+#include "adapters/http_fields.hpp"
+
+#include <charconv>
+
+namespace cyclamenhold
+{
+
+reply_event
+make_head_event(const upstream_call& call, const response_parser& parser)
+{
+    reply_event event;
+    reply_head head;
+    head.status = static_cast<std::uint16_t>(parser.get().result_int());
+    head.headers = returned_fields(parser.get().base());
+    if (const auto length = parser.content_length())
+    {
+        head.body_size = *length;
+    }
+    event.head = std::move(head);
+    event.load = call.report();
+    event.returned_allowance = call.returned_allowance();
+    return event;
+}
+
+bool is_bodyless(const upstream_call& call, unsigned status)
+{
+    return call.work->head.method == "HEAD" || status == 204 || status == 304;
+}
+
+bool is_of_other_request(
+    const upstream_call& call, const response_parser& parser)
+{
+    const std::string& name = call.names->request_id;
+    const auto sent = field_value(call.work->head.headers, name);
+    return !sent.empty() && field_value(parser.get().base(), name) != sent;
+}
+
+upstream_notice
+notice_of(const upstream_call& call, const response_parser& parser)
+{
+    upstream_notice notice;
+    const std::string_view text =
+        field_value(parser.get().base(), call.names->rate_limit);
+    double rate = 0.0;
+    if (const auto [end, error] =
+            std::from_chars(text.data(), text.data() + text.size(), rate);
+        error == std::errc() && end == text.data() + text.size())
+    {
+        notice.rate = rate;
+    }
+    notice.is_leaving =
+        field_value(parser.get().base(), call.names->leaving) == "1";
+    return notice;
+}
+
+bool is_not_run(const upstream_call& call, const response_parser& parser)
+{
+    constexpr unsigned misdirected = 421;
+    return parser.get().result_int() == misdirected ||
+           !field_value(parser.get().base(), call.names->not_run).empty();
+}
+
+bool lacks_signature(const upstream_call& call, const response_parser& parser)
+{
+    const unsigned status = parser.get().result_int();
+    const std::string& name = call.names->signature;
+    return !name.empty() && status >= 200 && status < 300 &&
+           field_value(parser.get().base(), name).empty();
+}
+
+} // namespace cyclamenhold
