--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -26,9 +26,9 @@
     // Calls beyond this number are answered `unavailable` at once.
     std::size_t max_pending_calls = 1'000;
     // After a failure no call is sent for a random time up to a bound, which
-    // doubles from the initial to the maximum backoff. It only spreads the calls
-    // of many nodes: each client of the platform has a backoff of its own, and
-    // this one delays those that have not failed.
+    // doubles from the initial to the maximum backoff. It only spreads the
+    // calls of many nodes: each client of the platform has a backoff of its
+    // own, and this one delays those that have not failed.
     duration initial_backoff = 50ms;
     duration max_backoff = 250ms;
     std::uint64_t seed = 1;
--- a/tests/core/gate_rate_test.cpp
+++ b/tests/core/gate_rate_test.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 
-constexpr duration request_interval = 10ms;
 constexpr duration run_time = 50ms;
 constexpr duration window = 4s;
 constexpr double rate_tolerance = 1.5;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -13,7 +13,6 @@
 
 using namespace process_tests;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // The targets of requests, by what became of them.
 struct request_log
