Keep the named rate when a reply's rate can't be read

Symptom: none seen; found in reading the diff. Change: such a value is not a number, which the cap ignores; only a reply without the field ends the rate. Test: upstream_client.an_unreadable_rate_leaves_the_named_one_in_force.

--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -19,7 +19,8 @@
 // What the upstream says about itself in the head of a reply.
 struct upstream_notice
 {
-    // Requests per second; absent if it names no rate.
+    // Requests per second; absent if it names no rate, not a number if what it
+    // names can't be read.
     std::optional<double> rate;
     // Its process accepts requests for a short time only.
     bool is_leaving = false;
--- a/src/adapters/upstream_reply_head.cpp
+++ b/src/adapters/upstream_reply_head.cpp
@@ -3,9 +3,27 @@
 #include "adapters/http_fields.hpp"
 
 #include <charconv>
+#include <limits>
 
 namespace cyclamenhold
 {
+namespace
+{
+
+namespace http = boost::beast::http;
+
+// Not a number if the whole text is no decimal number.
+double parse_rate(std::string_view text)
+{
+    double rate = 0.0;
+    const char* const text_end = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), text_end, rate);
+    return error == std::errc() && end == text_end
+               ? rate
+               : std::numeric_limits<double>::quiet_NaN();
+}
+
+} // namespace
 
 reply_event
 make_head_event(const upstream_call& call, const response_parser& parser)
@@ -40,18 +58,14 @@
 upstream_notice
 notice_of(const upstream_call& call, const response_parser& parser)
 {
+    const http::fields& fields = parser.get().base();
     upstream_notice notice;
-    const std::string_view text =
-        field_value(parser.get().base(), call.names->rate_limit);
-    double rate = 0.0;
-    if (const auto [end, error] =
-            std::from_chars(text.data(), text.data() + text.size(), rate);
-        error == std::errc() && end == text.data() + text.size())
+    if (const auto text = field_value(fields, call.names->rate_limit);
+        !text.empty())
     {
-        notice.rate = rate;
+        notice.rate = parse_rate(text);
     }
-    notice.is_leaving =
-        field_value(parser.get().base(), call.names->leaving) == "1";
+    notice.is_leaving = field_value(fields, call.names->leaving) == "1";
     return notice;
 }
 
--- a/src/adapters/upstream_reply_head.hpp
+++ b/src/adapters/upstream_reply_head.hpp
@@ -24,8 +24,7 @@
 [[nodiscard]] bool
 is_of_other_request(const upstream_call& call, const response_parser& parser);
 
-// What the upstream says about itself. Fields that are no valid value say
-// nothing.
+// What the upstream says about itself.
 [[nodiscard]] upstream_notice
 notice_of(const upstream_call& call, const response_parser& parser);
 
--- a/tests/adapters/upstream_client_test.cpp
+++ b/tests/adapters/upstream_client_test.cpp
@@ -123,7 +123,10 @@
         {
             return load_report{};
         };
-        call.on_notice = [](const upstream_notice&) {};
+        call.on_notice = [this](const upstream_notice& notice)
+        {
+            last_notice = notice;
+        };
         call.returned_allowance = []
         {
             return std::uint16_t{0};
@@ -179,6 +182,7 @@
     upstream_pool pool;
     answer_script script;
     int requests = 0;
+    upstream_notice last_notice;
 };
 
 // An upstream wrote a refusal twice on a kept connection. The same request,
@@ -233,6 +237,40 @@
     }
 }
 
+// A rate that can't be read must neither end the one that was named before nor
+// replace it; only a reply without the field ends it.
+TEST(upstream_client, an_unreadable_rate_leaves_the_named_one_in_force)
+{
+    std::string fields;
+    scripted_connection_server upstream(
+        [&](int, int)
+        {
+            return reply_of(
+                "200 OK", "a",
+                "X-Cyclamenhold-Response-Signature: s\r\n"
+                "Content-Length: 0\r\n" +
+                    fields);
+        });
+    rate_cap cap;
+    const auto rate_after = [&](const std::string& value)
+    {
+        fields = "Server-Limit: " + value + "\r\n";
+        upstream.send("a");
+        cap_set(cap, upstream.last_notice.rate, now());
+        return cap.rate;
+    };
+    EXPECT_EQ(rate_after("20.5"), 20.5);
+    for (const char* odd : {"many", "-1", "1e999", "20 a second", "nan", "inf"})
+    {
+        EXPECT_EQ(rate_after(odd), 20.5) << odd;
+    }
+    EXPECT_EQ(rate_after("0"), 0.0);
+    fields = "";
+    upstream.send("a");
+    cap_set(cap, upstream.last_notice.rate, now());
+    EXPECT_FALSE(cap.rate);
+}
+
 // An upstream that stops in the head of its reply and closes must not look like
 // one with an empty or short body (MIXED, ORDER).
 TEST(upstream_client, a_head_that_stops_anywhere_is_no_reply)
