--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -262,7 +262,7 @@
 
 // Notes the refusal at its connection. False if the connection can't be used
 // again: it has bytes that belong to no request, or a copy of the refusal could
-// not be told from the reply to another request.
+// not be distinguished from the reply to another request.
 bool record_refusal(const upstream_call& call, upstream_connection& connection)
 {
     constexpr std::size_t max_refused_ids = 64;
