--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -700,6 +701,8 @@
         self.store.stop()
         for log in self.logs:
             log.close()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def add_machine(self, zone, service):
         number = len(self.machines) + 1
