--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -630,7 +630,7 @@
         while self.is_alive:
             if self.beats:
                 self.heartbeat()
-            time.sleep(0.5 if self.sequence < 4 else 1.5)
+            time.sleep(1.5)
 
     def crash(self):
         """Ends the worker: its port refuses and its connections reset."""
@@ -849,7 +849,14 @@
 
 
 def run_case(main):
-    """Runs a case and exits with its verdict."""
+    """Runs a case and exits with its verdict. A SIGTERM or SIGINT to the script
+    ends its processes too."""
+
+    def on_signal(number, _):
+        raise CouldNotRun(f"ended by {signal.Signals(number).name}")
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     try:
         with Deployment(folder, getattr(main, "zones", ["brno-depot"])) \
@@ -859,10 +866,11 @@
             if os.environ.get("KEEP_LOGS"):
                 print("logs in", deployment.folder)
     except Exception as error:  # pylint: disable=broad-except
-        print("could not run:", type(error).__name__, error)
-        sys.exit(COULD_NOT_RUN)
-    print(text)
-    sys.exit(verdict)
+        verdict = COULD_NOT_RUN
+        text = f"could not run: {type(error).__name__} {error}"
+    print(text, flush=True)
+    # Does not wait for threads of stand-ins.
+    os._exit(verdict)
 
 
 def in_threads(calls):
