Release the slot of a request that is cancelled before its start

Cause: the exchange of such a request is cancelled before it is offered to the gate. The gate decided to start it and took a slot; the cancellation removed it from the waiting requests, and gate_cancel handled queued ones only, so nobody released the slot. The same happens when the caller leaves between a decision on another thread and its execution. A request that another thread started first lost the function that closes its connection.

Change: gate_cancel also ends a request whose start was not carried out; the function that cancels is set before the offer, and the exchange is checked again after it.

--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -187,6 +187,8 @@
     }
 }
 
+// Cancels a request that does not run yet. Its slot is released if the gate has
+// already decided to start it.
 void cancel_waiting(local_gate& gate, gate_entry_id entry_id)
 {
     gate_decisions decisions;
@@ -205,6 +207,14 @@
 {
     const gate_entry_id entry_id = gate.next_entry_id++;
     const bool suspect = is_suspect_here(gate, work->context.digest);
+    // Set before the offer: once the request is offered, another thread may
+    // start it and set the function that ends its run.
+    set_abort(
+        *work,
+        [&gate, entry_id]
+        {
+            cancel_waiting(gate, entry_id);
+        });
     gate_decisions decisions;
     {
         const std::scoped_lock lock(gate.mutex);
@@ -212,12 +222,11 @@
         decisions = gate_offer(
             gate.gate, {entry_id, work->context, now(), suspect}, now());
     }
-    set_abort(
-        *work,
-        [&gate, entry_id]
-        {
-            cancel_waiting(gate, entry_id);
-        });
+    if (work->cancelled)
+    {
+        // A cancellation before the offer has found nothing to remove.
+        cancel_waiting(gate, entry_id);
+    }
     apply_decisions(gate, decisions);
 }
 
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -291,6 +291,10 @@
 gate_decisions
 gate_cancel(gate_state& gate, gate_entry_id entry_id, time_point now)
 {
+    if (gate.running.contains(entry_id))
+    {
+        return gate_finish(gate, entry_id, gate_result::cancelled, now);
+    }
     gate_decisions decisions;
     if (!queue_remove(gate.queue, entry_id))
     {
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -104,8 +104,9 @@
     gate_state& gate, gate_entry_id entry_id, gate_result result,
     time_point now, duration child_wait = {});
 
-// Removes a queued request whose caller has disconnected. Returns decisions on
-// other requests. A started request is ended with gate_finish instead.
+// Removes a request whose caller has disconnected and which the caller of this
+// function has not begun to run: it is queued, or the decision to start it has
+// not been carried out. Returns decisions on other requests.
 [[nodiscard]] gate_decisions
 gate_cancel(gate_state& gate, gate_entry_id entry_id, time_point now);
 
--- /dev/null
+++ b/tests/adapters/local_gate_test.cpp
@@ -0,0 +1,147 @@
+// The gate of a running node in front of an upstream on loopback.
+#include "adapters/clock.hpp"
+#include "adapters/local_gate.hpp"
+
+#include <boost/beast/http.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+// A gate and its upstream, which answers each request with its target.
+struct gate_and_upstream
+{
+    gate_and_upstream()
+    {
+        services.record = [](const event&) {};
+        gate.on_crash = [](const std::vector<std::uint64_t>&) {};
+        gate.on_suspect_success = [](std::uint64_t) {};
+        gate.on_leaving = [](std::uint64_t) {};
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            auto [error, socket] = co_await acceptor.async_accept(as_result);
+            if (error)
+            {
+                co_return;
+            }
+            asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        for (;;)
+        {
+            http::request<http::string_body> request;
+            const auto [error, size] =
+                co_await http::async_read(socket, buffer, request, as_result);
+            if (error)
+            {
+                co_return;
+            }
+            received.emplace_back(request.target());
+            http::response<http::string_body> reply;
+            reply.body() = request.target();
+            reply.prepare_payload();
+            co_await http::async_write(socket, reply, as_result);
+        }
+    }
+
+    void announce(const std::string& service, std::uint32_t slots)
+    {
+        upstream_record record;
+        record.service = service;
+        record.state = upstream_state::serving;
+        record.slots = slots;
+        record.connections = 100;
+        set_upstream(
+            gate, record, {acceptor.local_endpoint(), "i-" + service, 1});
+    }
+
+    exchange_ptr make_work(const std::string& target, service_id service)
+    {
+        auto work = std::make_shared<exchange>(io.get_executor(), 4, 64);
+        work->head.method = "POST";
+        work->head.target = target;
+        work->context.service = service;
+        work->context.deadline = now() + 5s;
+        work->body.try_send(boost::system::error_code(), body_chunk{"", true});
+        return work;
+    }
+
+    // Runs the gate until the exchange has its first event or is overdue.
+    reply_event wait_for_reply(exchange& work)
+    {
+        reply_event first;
+        bool done = false;
+        const time_point limit = now() + 10s;
+        while (!done && now() < limit)
+        {
+            tick_gate(gate);
+            io.run_one_for(10ms);
+            work.reply.try_receive(
+                [&](const boost::system::error_code&, const reply_event& event)
+                {
+                    first = event;
+                    done = true;
+                });
+        }
+        return first;
+    }
+
+    asio::io_context io{1};
+    tcp::acceptor acceptor{io, {asio::ip::address_v4::loopback(), 0}};
+    node_services services;
+    local_gate gate{services};
+    std::vector<std::string> received;
+};
+
+// Callers of a tenant at its limit left while their requests waited for a
+// token. The requests were offered to the gate all the same, and each took a
+// slot for good, until the gate started nothing more for any tenant (CONFIG).
+TEST(local_gate, cancelled_requests_take_no_slots)
+{
+    gate_and_upstream node;
+    node.announce("orders", 4);
+    const service_id orders = service_id_of("orders");
+    {
+        SCOPED_TRACE("requests whose callers have left before the offer");
+        for (int number = 0; number < 20; ++number)
+        {
+            const auto work = node.make_work("/left", orders);
+            cancel(*work);
+            run_at_gate(node.gate, work);
+        }
+        EXPECT_EQ(report_of(node.gate).in_flight, 0U);
+        EXPECT_EQ(count_requests(node.gate), 0U);
+    }
+    {
+        SCOPED_TRACE("a request that stays is answered");
+        const auto work = node.make_work("/stays", orders);
+        run_at_gate(node.gate, work);
+        const auto reply = node.wait_for_reply(*work);
+        ASSERT_TRUE(reply.head);
+        EXPECT_EQ(reply.head->status, 200U);
+        EXPECT_EQ(node.received, std::vector<std::string>{"/stays"});
+    }
+}
+
+} // namespace
+} // namespace cyclamenhold
--- a/tests/core/gate_test.cpp
+++ b/tests/core/gate_test.cpp
@@ -155,6 +155,32 @@
     }
 }
 
+// A caller that left between the decision to start its request and the start
+// kept its slot for good; after enough of them the gate started nothing more
+// (CONFIG).
+TEST(gate, a_request_cancelled_before_its_start_releases_its_slot)
+{
+    gate_state gate = make_gate(1);
+    (void)gate_offer(gate, make_request(1), start_time);
+    (void)gate_offer(gate, make_request(2), start_time);
+    EXPECT_TRUE(
+        holds(gate_cancel(gate, 1, start_time + 10ms), 2, refusal::none));
+    EXPECT_EQ(gate_report(gate, start_time + 10ms).in_flight, 1U);
+    {
+        SCOPED_TRACE("a suspect lets the next one start");
+        for (const gate_entry_id entry_id : {3, 4})
+        {
+            gate_request request = make_request(entry_id);
+            request.suspect = true;
+            (void)gate_offer(gate, std::move(request), start_time + 10ms);
+        }
+        const time_point at = start_time + 20ms;
+        EXPECT_TRUE(holds(
+            gate_finish(gate, 2, gate_result::replied, at), 3, refusal::none));
+        EXPECT_TRUE(holds(gate_cancel(gate, 3, at), 4, refusal::none));
+    }
+}
+
 TEST(gate, suspects_run_one_at_a_time)
 {
     gate_state gate = make_gate(10);
