Count the age of a reported reading from the probe, not from its arrival

Cause: the receiver of a membership message subtracted the reported age of a reading of the platform from the time at which it processed the message. A datagram that waited in the socket of a frozen process so reported a reading that never happened, and the node passed it on.

Change: contacts are sent in acks only, and their ages count from the time at which the probe was sent, by the receiver's clock. Sequences of probes start at a random number. Related path: the contacts of data centres come in the same messages and are covered.

--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -66,13 +66,21 @@
     }
 }
 
-void merge_contacts(
-    membership_state& state, const membership_message& message, time_point now)
+// Merges the contacts of an ack. Their ages are of the time at which the ack
+// was made, which is not before its probe was sent. The time of arrival is no
+// base: a message may wait in a socket while this process or the link stands
+// still.
+void merge_contacts(membership_state& state, const membership_message& message)
 {
+    const auto probe = state.sent_probes.find(message.sequence);
+    if (message.kind != message_body::ack || probe == state.sent_probes.end())
+    {
+        return;
+    }
     for (const auto& contact : message.contacts)
     {
         const time_point last_contact_at =
-            now - std::chrono::milliseconds(contact.age_ms);
+            probe->second - std::chrono::milliseconds(contact.age_ms);
         if (contact.data_centre == data_centre_id::none)
         {
             state.platform_read_at =
@@ -219,6 +227,8 @@
     // Zero means "unknown" in messages.
     state.self_incarnation = std::max<incarnation>(self, 1);
     state.last_tick = now;
+    // An ack to a probe of an earlier process must match none of this one.
+    state.next_sequence = random();
     state.gossip_budget_bytes = settings.gossip_bytes_per_second;
     // Random phases, so that nodes that start together do not probe at the same
     // times.
@@ -275,7 +285,7 @@
         return;
     }
     handle_sender(state, *decoded, now, actions);
-    merge_contacts(state, *decoded, now);
+    merge_contacts(state, *decoded);
     merge_updates(state, *decoded, now, actions);
     handle_body(state, *decoded, now, actions);
 }
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -209,6 +209,9 @@
     std::vector<host_id> probe_order;
     std::uint64_t next_sequence = 1;
     std::optional<probe> active_probe;
+    // When probes were sent, by their sequence; kept for as long as an ack may
+    // come.
+    std::map<std::uint64_t, time_point> sent_probes;
     std::map<std::uint64_t, relayed_probe> relays;
     membership_timers timers;
     seed_state seed;
--- a/src/core/membership/probing.cpp
+++ b/src/core/membership/probing.cpp
@@ -13,6 +13,8 @@
 
 // Timeout of a relayed probe.
 constexpr duration relay_timeout = 2s;
+// An ack to an older probe reports no contacts.
+constexpr duration sent_probe_retention = 2s;
 
 void send_ping(
     membership_state& state, host_id target, std::uint64_t sequence,
@@ -20,6 +22,7 @@
 {
     auto message = make_message(state, message_body::ping, now);
     message.sequence = sequence;
+    state.sent_probes[sequence] = now;
     if (const auto found = state.members.find(target);
         found != state.members.end())
     {
@@ -172,6 +175,12 @@
         {
             return item.second.expires_at <= now;
         });
+    std::erase_if(
+        state.sent_probes,
+        [now](const auto& item)
+        {
+            return item.second + sent_probe_retention <= now;
+        });
 }
 
 time_point probes_due(const membership_state& state)
--- a/src/core/membership/sending.cpp
+++ b/src/core/membership/sending.cpp
@@ -12,8 +12,6 @@
 
 using wire::membership::message_body;
 
-// Added to the age of a contact on each hop, for the time in transit.
-constexpr duration contact_hop_delay = 50ms;
 constexpr std::int64_t max_age_ms = std::numeric_limits<std::uint32_t>::max();
 // Expected number of messages per gossip round from one data centre to others,
 // when all of its members have the updates.
@@ -120,14 +118,14 @@
     message.sender = own_report(state);
     message.sender_upstream_version = state.local_upstream.version;
     message.revision = state.own_revision;
-    if (kind == message_body::digest)
+    if (kind != message_body::ack)
     {
         return message;
     }
     const auto add_contact = [&](data_centre_id id, time_point last_contact_at)
     {
-        const auto age =
-            to_milliseconds(now - last_contact_at + contact_hop_delay);
+        // Rounded up.
+        const auto age = to_milliseconds(now - last_contact_at) + 1;
         message.contacts.push_back(
             {id, static_cast<std::uint32_t>(
                      std::clamp<std::int64_t>(age, 0, max_age_ms))});
--- a/src/core/membership/sending.hpp
+++ b/src/core/membership/sending.hpp
@@ -9,7 +9,8 @@
 // Bytes of updates that fit into a datagram with the rest of a message.
 constexpr std::size_t max_updates_size = 850;
 
-// Returns a message of this node without updates.
+// Returns a message of this node without updates. Only an ack reports contacts:
+// their ages are of use only to a receiver that can bound the time of sending.
 [[nodiscard]] membership_message make_message(
     const membership_state& state, wire::membership::message_body kind,
     time_point now);
