Never run a request at an upstream of another service

Cause: a new announcement replaced the gate's upstream and kept its queue. Nothing compared the service of a request with that of the upstream, neither there nor for requests that peers send before they receive the new record, nor for one that the gate has started and that is not sent yet.

Change: the gate refuses what is queued when the service changes and what comes later for another service (no-upstream, not-run). Endpoint, id and service are read together when a started request is sent; one for another service is refused there.

Both new tests failed with the change taken out and pass with it.

--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -237,7 +237,8 @@
     }
     set_upstream(
         loop.gate, *record,
-        {loop.upstream.endpoint, loop.upstream.id, loop.upstream.incarnation});
+        {loop.upstream.endpoint, loop.upstream.id, loop.upstream.incarnation,
+         service_id_of(record->service)});
     event new_event;
     new_event.kind = record->state == upstream_state::draining
                          ? event_kind::upstream_draining
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -86,6 +86,27 @@
     apply_decisions(gate, decisions);
 }
 
+// Fills in the upstream that is at the host now. False if it is not of the
+// service for which the gate started the request.
+bool fill_upstream(upstream_pool& pool, upstream_call& call)
+{
+    const std::scoped_lock lock(pool.mutex);
+    call.endpoint = pool.endpoint;
+    call.upstream_id = pool.upstream_id;
+    const service_id wanted = call.work->context.service;
+    return wanted == service_id::none || wanted == pool.service;
+}
+
+// Ends a started request that has not been sent to the upstream.
+upstream_result refuse_started(const upstream_call& call)
+{
+    set_abort(*call.work, nullptr);
+    fail(
+        *call.work, {refusal::no_upstream, outcome::not_run}, call.report(),
+        call.returned_allowance());
+    return {gate_result::cancelled, false, false};
+}
+
 // Sends one started request to the upstream and records its result at the gate.
 asio::awaitable<void> run_started(
     local_gate* gate, exchange_ptr work, gate_entry_id entry_id,
@@ -95,11 +116,7 @@
     upstream_call call;
     call.work = work;
     call.connection = connection;
-    {
-        const std::scoped_lock lock(gate->pool.mutex);
-        call.endpoint = gate->pool.endpoint;
-        call.upstream_id = gate->pool.upstream_id;
-    }
+    const bool is_right_service = fill_upstream(gate->pool, call);
     call.handle = request->handle;
     call.names = &gate->services.profile.headers;
     call.body_stall_timeout = gate->services.limits.body_stall_timeout;
@@ -119,7 +136,8 @@
     };
     const auto endpoint = call.endpoint;
     const auto [result, broke, reusable] =
-        co_await call_upstream(std::move(call));
+        is_right_service ? co_await call_upstream(std::move(call))
+                         : refuse_started(call);
     end_running(gate->handles, request);
     if (reusable)
     {
--- a/src/adapters/upstream_pool.cpp
+++ b/src/adapters/upstream_pool.cpp
@@ -50,15 +50,16 @@
 bool set_address(upstream_pool& pool, const upstream_address& address)
 {
     const std::scoped_lock lock(pool.mutex);
-    const auto& [endpoint, id, incarnation] = address;
+    const auto& [endpoint, id, incarnation, service] = address;
     if (pool.endpoint == endpoint && pool.upstream_id == id &&
-        pool.incarnation == incarnation)
+        pool.incarnation == incarnation && pool.service == service)
     {
         return false;
     }
     pool.endpoint = endpoint;
     pool.upstream_id = id;
     pool.incarnation = incarnation;
+    pool.service = service;
     ++pool.generation;
     pool.idle.clear();
     return true;
--- a/src/adapters/upstream_pool.hpp
+++ b/src/adapters/upstream_pool.hpp
@@ -3,6 +3,8 @@
 // any thread.
 #pragma once
 
+#include "core/base/ids.hpp"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 
@@ -48,6 +50,7 @@
     asio::ip::tcp::endpoint endpoint;
     std::string id;
     std::uint64_t incarnation = 0;
+    service_id service = service_id::none;
     bool operator==(const upstream_address&) const = default;
 };
 
@@ -57,6 +60,7 @@
     asio::ip::tcp::endpoint endpoint;
     std::string upstream_id;
     std::uint64_t incarnation = 0;
+    service_id service = service_id::none;
     std::uint64_t generation = 0;
     std::vector<upstream_connection_ptr> idle;
 };
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -21,6 +21,15 @@
            gate.upstream.state == upstream_state::warming;
 }
 
+// True for a request whose sender has not received yet that an upstream of
+// another service has taken the place of the former one.
+bool is_for_other_service(
+    const gate_state& gate, const request_context& context)
+{
+    return context.service != service_id::none &&
+           context.service != gate.service;
+}
+
 // The limit of the upstream, or the lower concurrency that its rate sustains.
 // Bounds the queue and is reported to other nodes. It does not bound what runs:
 // single requests may take longer than the mean.
@@ -152,6 +161,16 @@
     }
 }
 
+void refuse_waiting(gate_state& gate, gate_decisions& decisions, refusal reason)
+{
+    refuse_all(decisions, queue_take_all(gate.queue), reason);
+    for (const auto& request : gate.suspects)
+    {
+        decisions.push_back({request.entry_id, reason});
+    }
+    gate.suspects.clear();
+}
+
 void drop_expired_suspects(
     gate_state& gate, time_point now, gate_decisions& decisions)
 {
@@ -205,20 +224,21 @@
 {
     gate_decisions decisions;
     gate.upstream = record;
+    const service_id former =
+        std::exchange(gate.service, service_id_of(record.service));
     gate.limit.is_announcement_exact = gate.settings.has_exact_slots;
     limit_announce(
         gate.limit, record.slots, record.connections,
         record.state == upstream_state::warming, now);
     if (!is_accepting(gate))
     {
-        refuse_all(decisions, queue_take_all(gate.queue), refusal::draining);
-        for (const auto& request : gate.suspects)
-        {
-            decisions.push_back({request.entry_id, refusal::draining});
-        }
-        gate.suspects.clear();
+        refuse_waiting(gate, decisions, refusal::draining);
         return decisions;
     }
+    if (gate.service != former)
+    {
+        refuse_waiting(gate, decisions, refusal::no_upstream);
+    }
     start_queued(gate, now, decisions);
     return decisions;
 }
@@ -242,6 +262,10 @@
     {
         return {{request.entry_id, refusal::draining}};
     }
+    if (is_for_other_service(gate, request.context))
+    {
+        return {{request.entry_id, refusal::no_upstream}};
+    }
     if (request.context.deadline <= now)
     {
         return {{request.entry_id, refusal::deadline_exceeded}};
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -70,6 +70,8 @@
 {
     gate_settings settings;
     upstream_record upstream;
+    // The service of the upstream.
+    service_id service = service_id::none;
     concurrency_limit limit;
     rate_cap cap;
     std::unordered_map<gate_entry_id, gate_running> running;
@@ -83,7 +85,8 @@
 };
 
 // Applies a new announcement of the local upstream. When it is draining or
-// absent, nothing more is started and queued requests are refused.
+// absent, nothing more is started and queued requests are refused. Those that
+// are queued for an upstream of another service are refused as well.
 [[nodiscard]] gate_decisions gate_set_upstream(
     gate_state& gate, const upstream_record& record, time_point now);
 
--- a/tests/adapters/local_gate_test.cpp
+++ b/tests/adapters/local_gate_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +21,8 @@
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
-// A gate and its upstream, which answers each request with its target.
+// A gate and its upstream, which answers each request with its target, except
+// for `/hang`, which gets no answer, and `/crash`, which ends it.
 struct gate_and_upstream
 {
     gate_and_upstream()
@@ -40,27 +43,45 @@
             {
                 co_return;
             }
-            asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+            sockets.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+            asio::co_spawn(io, serve(sockets.back()), asio::detached);
         }
     }
 
-    asio::awaitable<void> serve(tcp::socket socket)
+    void crash()
+    {
+        acceptor.close();
+        for (const auto& socket : sockets)
+        {
+            socket->close();
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
     {
         boost::beast::flat_buffer buffer;
         for (;;)
         {
             http::request<http::string_body> request;
             const auto [error, size] =
-                co_await http::async_read(socket, buffer, request, as_result);
+                co_await http::async_read(*socket, buffer, request, as_result);
             if (error)
             {
                 co_return;
             }
             received.emplace_back(request.target());
+            if (request.target() == "/crash")
+            {
+                crash();
+            }
+            if (request.target() == "/crash" || request.target() == "/hang")
+            {
+                co_return;
+            }
             http::response<http::string_body> reply;
             reply.body() = request.target();
             reply.prepare_payload();
-            co_await http::async_write(socket, reply, as_result);
+            co_await http::async_write(*socket, reply, as_result);
         }
     }
 
@@ -72,7 +93,9 @@
         record.slots = slots;
         record.connections = 100;
         set_upstream(
-            gate, record, {acceptor.local_endpoint(), "i-" + service, 1});
+            gate, record,
+            {acceptor.local_endpoint(), "i-" + service, ++incarnation,
+             service_id_of(service)});
     }
 
     exchange_ptr make_work(const std::string& target, service_id service)
@@ -110,7 +133,9 @@
     tcp::acceptor acceptor{io, {asio::ip::address_v4::loopback(), 0}};
     node_services services;
     local_gate gate{services};
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
     std::vector<std::string> received;
+    std::uint64_t incarnation = 0;
 };
 
 // Callers of a tenant at its limit left while their requests waited for a
@@ -143,5 +168,24 @@
     }
 }
 
+// The address of an upstream that had ended went to one of another service. A
+// request that the gate had just started for the former one ran there (ROUTE).
+TEST(local_gate, a_started_request_is_not_sent_to_another_service)
+{
+    gate_and_upstream node;
+    node.announce("orders", 4);
+    const auto work = node.make_work("/order", service_id_of("orders"));
+    run_at_gate(node.gate, work);
+    set_address(
+        node.gate.pool, {node.acceptor.local_endpoint(), "i-payments", 2,
+                         service_id_of("payments")});
+    const auto reply = node.wait_for_reply(*work);
+    ASSERT_TRUE(reply.failure);
+    EXPECT_EQ(reply.failure->reason, refusal::no_upstream);
+    EXPECT_EQ(reply.failure->result, outcome::not_run);
+    EXPECT_TRUE(node.received.empty());
+    EXPECT_EQ(report_of(node.gate).in_flight, 0U);
+}
+
 } // namespace
 } // namespace cyclamenhold
--- a/tests/core/gate_test.cpp
+++ b/tests/core/gate_test.cpp
@@ -181,6 +181,48 @@
     }
 }
 
+// The address of an upstream that had ended went to one of another service, to
+// which the gate sent the requests that waited for the former one (ROUTE).
+TEST(gate, an_upstream_of_another_service_gets_no_request_of_the_former)
+{
+    const auto request_for = [](gate_entry_id entry_id, const char* service)
+    {
+        gate_request request = make_request(entry_id);
+        request.context.service = service_id_of(service);
+        return request;
+    };
+    gate_state gate = make_gate(1);
+    EXPECT_TRUE(holds(
+        gate_offer(gate, request_for(1, "lookup"), start_time), 1,
+        refusal::none));
+    (void)gate_offer(gate, request_for(2, "lookup"), start_time);
+    gate_request suspect = request_for(3, "lookup");
+    suspect.suspect = true;
+    (void)gate_offer(gate, std::move(suspect), start_time);
+    {
+        SCOPED_TRACE("the next upstream of the same service gets them");
+        EXPECT_TRUE(gate_set_upstream(gate, serving(1), start_time).empty());
+    }
+    upstream_record other = serving(5);
+    other.service = "payments";
+    {
+        SCOPED_TRACE("queued requests are refused when the service changes");
+        const auto decisions = gate_set_upstream(gate, other, start_time);
+        EXPECT_EQ(decisions.size(), 2U);
+        EXPECT_TRUE(holds(decisions, 2, refusal::no_upstream));
+        EXPECT_TRUE(holds(decisions, 3, refusal::no_upstream));
+    }
+    {
+        SCOPED_TRACE("so are those that come later");
+        EXPECT_TRUE(holds(
+            gate_offer(gate, request_for(4, "lookup"), start_time), 4,
+            refusal::no_upstream));
+        EXPECT_TRUE(holds(
+            gate_offer(gate, request_for(5, "payments"), start_time), 5,
+            refusal::none));
+    }
+}
+
 TEST(gate, suspects_run_one_at_a_time)
 {
     gate_state gate = make_gate(10);
