Derive the planned stop and the trust in keys from the deployment's bounds

Cause: the settings template named a fixed stop time that fits a grace of 6 s. The trust in keys was fixed in the same way and fits one revocation time only.

Change: the settings stop_grace_s and key_revocation_s name the bounds; the node uses nine tenths of each. Nothing changes at a grace of 6 s and a revocation within 5 s.

--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -32,7 +32,7 @@
           control(services, gate, wakeups, seed)
     {
         decisions.max_lines_per_second = settings.log.decisions_per_second;
-        control.max_key_staleness = settings.max_key_staleness;
+        control.max_key_staleness = max_key_staleness_of(settings);
     }
 
     node_settings settings;
@@ -628,6 +628,7 @@
         return;
     }
     node.settings.stop_timeout = next.stop_timeout;
+    node.settings.stop_grace_seconds = next.stop_grace_seconds;
     node.settings.log = next.log;
     {
         const std::scoped_lock lock(node.decisions.mutex);
@@ -635,7 +636,7 @@
     }
     asio::post(
         node.control.io,
-        [&node, staleness = next.max_key_staleness]
+        [&node, staleness = max_key_staleness_of(next)]
         {
             node.control.max_key_staleness = staleness;
         });
@@ -660,7 +661,7 @@
 {
     record_lifecycle(node, event_kind::node_stopping, node.settings.name);
     const time_point start = now();
-    const time_point until = start + node.settings.stop_timeout;
+    const time_point until = start + stop_timeout_of(node.settings);
     // Callers are still served, but each reply closes its connection, so that
     // the next one is opened to another node.
     node.services.path.draining = true;
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -157,8 +157,23 @@
     std::chrono::milliseconds max_key_staleness{0};
     // Requests that still run after this time of a planned stop are aborted.
     std::chrono::milliseconds stop_timeout{30'000};
+    // The bounds of the deployment, in seconds; zero if not given. A given
+    // bound determines the time of the node that depends on it.
+    double key_revocation_seconds = 0.0;
+    double stop_grace_seconds = 0.0;
 };
 
+// For how long keys are accepted without a confirmation of the configuration:
+// less than the time within which a removed key must have no effect, if that is
+// given. Zero for no limit.
+[[nodiscard]] std::chrono::milliseconds
+max_key_staleness_of(const node_settings& settings);
+
+// The length of a planned stop: less than the time after which the platform
+// kills the process, if that is given.
+[[nodiscard]] std::chrono::milliseconds
+stop_timeout_of(const node_settings& settings);
+
 struct settings_result
 {
     // Valid only if `found` is empty.
--- /dev/null
+++ b/src/adapters/settings_bounds.cpp
@@ -0,0 +1,34 @@
+#include "adapters/settings.hpp"
+
+namespace cyclamenhold
+{
+namespace
+{
+
+// The rest of a bound is for the node's own delays: timers that fire late, and
+// the end of the process.
+constexpr double used_part_of_bound = 0.9;
+
+std::chrono::milliseconds within(double bound_seconds)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(bound_seconds * used_part_of_bound));
+}
+
+} // namespace
+
+std::chrono::milliseconds max_key_staleness_of(const node_settings& settings)
+{
+    return settings.key_revocation_seconds > 0.0
+               ? within(settings.key_revocation_seconds)
+               : settings.max_key_staleness;
+}
+
+std::chrono::milliseconds stop_timeout_of(const node_settings& settings)
+{
+    return settings.stop_grace_seconds > 0.0
+               ? within(settings.stop_grace_seconds)
+               : settings.stop_timeout;
+}
+
+} // namespace cyclamenhold
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -203,6 +203,16 @@
         "ms",
         "Requests that still run after this time of a planned stop are "
         "aborted."},
+    setting_entry{
+        "/key_revocation_s", CYCLAMEN_MEMBER(key_revocation_seconds), optional,
+        0, 3'600, "s",
+        "Time within which a removed key must have no effect on any host. If "
+        "given, it determines `/key_trust_ms`, which is nine tenths of it."},
+    setting_entry{
+        "/stop_grace_s", CYCLAMEN_MEMBER(stop_grace_seconds), optional, 0,
+        3'600, "s",
+        "Time from the stop signal until the platform kills the process. If "
+        "given, it determines `/stop_timeout_ms`, which is nine tenths of it."},
 };
 
 #undef CYCLAMEN_MEMBER
