Recognise a request that ends upstreams among others in flight

Cause: a request was quarantined only if no other suspect was in flight in the crash. Frequent requests are in flight in each crash, so that there are several suspects; one that is alone by chance is quarantined in place of the cause. Further gaps, by reading: the digest left out the body, gates ran quarantined requests that had entered elsewhere, and requests whose broken connection was noticed after the first report of a crash were in no report.

A suspect in flight in three crashes without a success in between is quarantined, whatever else was in flight. Gates check the quarantine before a start. A second report of a crash adds its requests.

--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -190,6 +190,7 @@
     {
         request.body_size = caller.prefix.size();
     }
+    request.body_prefix = caller.prefix;
     const bool carries_key =
         request.key && request.target.find(*request.key) != std::string::npos;
     if (malformed || carries_key || !request.target.starts_with('/') ||
--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -180,8 +180,35 @@
         });
 }
 
+void clear_suspect(control_loop& loop, std::uint64_t digest)
+{
+    run_control_event(
+        loop,
+        [&](control_actions& actions)
+        {
+            quarantine_on_success(
+                loop.state.quarantine, loop.state.membership, digest, now(),
+                loop.random, actions);
+        });
+}
+
+// Clears suspects that other nodes have reported and of which the local
+// upstream has just completed others.
+void clear_suspects_with_successes(control_loop& loop)
+{
+    for (const auto digest :
+         build_quarantine_view(loop.state.quarantine).suspects)
+    {
+        if (has_succeeded(loop.gate, digest))
+        {
+            clear_suspect(loop, digest);
+        }
+    }
+}
+
 void receive(control_loop& loop, const incoming_message& message)
 {
+    const std::uint64_t quarantine_version = loop.state.quarantine.version;
     run_control_event(
         loop,
         [&](control_actions& actions)
@@ -189,6 +216,10 @@
             control_on_message(
                 loop.state, message, now(), loop.random, actions);
         });
+    if (loop.state.quarantine.version != quarantine_version)
+    {
+        clear_suspects_with_successes(loop);
+    }
 }
 
 void send(control_loop& loop, const outgoing_message& message)
@@ -518,14 +549,7 @@
         loop.io,
         [&loop, digest]
         {
-            run_control_event(
-                loop,
-                [&](control_actions& actions)
-                {
-                    quarantine_on_success(
-                        loop.state.quarantine, loop.state.membership, digest,
-                        now(), loop.random, actions);
-                });
+            clear_suspect(loop, digest);
         });
 }
 
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -34,8 +34,29 @@
     return is_suspect(*view, digest);
 }
 
-// Checks after a failure whether the upstream has crashed, and reports a
-// suspect request that succeeded.
+// The host at which the request entered may not have received the quarantine,
+// or the request has waited here since before it.
+bool is_quarantined_here(local_gate& gate, std::uint64_t digest)
+{
+    const auto view = gate.services.path.quarantine.read();
+    return is_quarantined(*view, digest);
+}
+
+// Reports a crash of the upstream. Requests of which others have just succeeded
+// have not caused it.
+void report_crash(local_gate& gate, std::vector<std::uint64_t> digests)
+{
+    std::erase_if(
+        digests,
+        [&gate](std::uint64_t digest)
+        {
+            return has_succeeded(gate, digest);
+        });
+    gate.on_crash(digests);
+}
+
+// Checks after a failure whether the upstream has crashed. Records a success,
+// and reports that of a suspect.
 void record_request_end(
     local_gate& gate, const exchange& work,
     const asio::ip::tcp::endpoint& endpoint,
@@ -46,9 +67,22 @@
     {
         record_broken_request(
             gate.crashes, connection->stream.get_executor(), endpoint,
-            broke ? std::optional(digest) : std::nullopt, now(), gate.on_crash);
+            broke ? std::optional(digest) : std::nullopt, now(),
+            [&gate](const std::vector<std::uint64_t>& digests)
+            {
+                report_crash(gate, digests);
+            });
+        return;
+    }
+    if (result != gate_result::replied)
+    {
+        return;
+    }
+    {
+        const std::scoped_lock lock(gate.successes_mutex);
+        record_success(gate.successes, digest, now());
     }
-    else if (result == gate_result::replied && is_suspect_here(gate, digest))
+    if (is_suspect_here(gate, digest))
     {
         gate.on_suspect_success(digest);
     }
@@ -181,6 +215,17 @@
     fail(*work, {reason, outcome::not_run}, load);
 }
 
+// Ends a request that the gate has started and that does not run.
+void release_slot(local_gate& gate, gate_entry_id entry_id)
+{
+    gate_decisions decisions;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        decisions = gate_cancel(gate.gate, entry_id, now());
+    }
+    apply_decisions(gate, decisions);
+}
+
 void apply_decisions(local_gate& gate, const gate_decisions& decisions)
 {
     for (const auto& [entry_id, reason] : decisions)
@@ -196,12 +241,18 @@
             work = std::move(found->second);
             gate.waiting.erase(found);
         }
-        if (reason == refusal::none)
+        if (reason != refusal::none)
+        {
+            refuse(gate, work, reason);
+            continue;
+        }
+        if (is_quarantined_here(gate, work->context.digest))
         {
-            start(gate, work, entry_id);
+            refuse(gate, work, refusal::quarantined);
+            release_slot(gate, entry_id);
             continue;
         }
-        refuse(gate, work, reason);
+        start(gate, work, entry_id);
     }
 }
 
@@ -276,6 +327,12 @@
         });
 }
 
+bool has_succeeded(local_gate& gate, std::uint64_t digest)
+{
+    const std::scoped_lock lock(gate.successes_mutex);
+    return has_recent_success(gate.successes, digest, now());
+}
+
 void set_upstream(
     local_gate& gate, const upstream_record& record,
     const upstream_address& address)
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -9,6 +9,7 @@
 #include "adapters/node_services.hpp"
 #include "adapters/upstream_pool.hpp"
 #include "core/gate/gate.hpp"
+#include "core/quarantine/recent_successes.hpp"
 
 #include <atomic>
 #include <functional>
@@ -38,8 +39,11 @@
     // Requests that are running now.
     std::atomic<std::uint32_t> running{0};
     crash_detector crashes;
+    std::mutex successes_mutex;
+    // Guarded by successes_mutex.
+    recent_successes successes;
     // Report to the control thread a crash of the upstream, with the digests of
-    // the requests in flight, and a suspect request that succeeded.
+    // the requests that may have caused it, and a suspect that succeeded.
     std::function<void(const std::vector<std::uint64_t>&)> on_crash;
     std::function<void(std::uint64_t)> on_suspect_success;
     // Reports to the control thread that a reply of this incarnation of the
@@ -54,6 +58,10 @@
 // Runs a request; its exchange receives exactly one reply or failure.
 void run_at_gate(local_gate& gate, const exchange_ptr& work);
 
+// True if the upstream has replied to a request with this digest within
+// success_memory.
+[[nodiscard]] bool has_succeeded(local_gate& gate, std::uint64_t digest);
+
 // Applies a change of the local upstream's record or address.
 void set_upstream(
     local_gate& gate, const upstream_record& record,
--- a/src/core/base/request_context.hpp
+++ b/src/core/base/request_context.hpp
@@ -65,9 +65,9 @@
     // On the local monotonic clock. Frames carry the remaining time instead,
     // since the clocks of hosts are not comparable.
     time_point deadline{};
-    // A hash of workspace, method, target and idempotency key, the same for a
-    // request and its retries. Identifies requests that may have crashed an
-    // upstream.
+    // A hash of workspace, method, target, idempotency key and the first bytes
+    // of the body, the same for a request and its retries. Identifies requests
+    // that may have crashed an upstream; those with another body have not.
     std::uint64_t digest = 0;
     // From the caller; empty if it sent none.
     std::string idempotency_key;
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace cyclamenhold
 {
 namespace
@@ -57,22 +59,6 @@
     state.suspects.erase(oldest);
 }
 
-void add_suspect(
-    quarantine_state& state, const upstream_incarnation& crash,
-    std::uint64_t digest, time_point now)
-{
-    if (state.quarantined.contains(digest))
-    {
-        return;
-    }
-    if (state.suspects.size() >= state.settings.max_suspects &&
-        !state.suspects.contains(digest))
-    {
-        evict_oldest_suspect(state);
-    }
-    state.suspects[digest] = {crash, now + state.settings.suspicion_time};
-}
-
 void quarantine_digest(
     quarantine_state& state, std::uint64_t digest, time_point now,
     control_actions& actions)
@@ -94,39 +80,57 @@
     actions.events.push_back(std::move(quarantined));
 }
 
-// Records a crash once. Returns false when it was recorded before.
-bool record_crash(
+// Adds the crash to those of the suspect. Quarantines it if there are enough.
+void add_suspect(
     quarantine_state& state, const upstream_incarnation& crash,
-    std::span<const std::uint64_t> digests, time_point now,
-    control_actions& actions)
+    std::uint64_t digest, time_point now, control_actions& actions)
 {
-    if (state.crashes.contains(crash))
+    if (state.quarantined.contains(digest))
     {
-        return false;
+        return;
     }
-    if (state.crashes.size() >= state.settings.max_suspects)
+    if (state.suspects.size() >= state.settings.max_suspects &&
+        !state.suspects.contains(digest))
     {
-        state.crashes.erase(state.crashes.begin());
+        evict_oldest_suspect(state);
     }
-    state.crashes.emplace(crash, now + state.settings.suspicion_time);
-    std::vector<std::uint64_t> repeated;
-    for (const std::uint64_t digest : digests)
+    auto& [crashes, expires_at] = state.suspects[digest];
+    expires_at = now + state.settings.suspicion_time;
+    if (std::ranges::find(crashes, crash) == crashes.end())
     {
-        if (state.suspects.contains(digest))
-        {
-            repeated.push_back(digest);
-        }
+        crashes.push_back(crash);
+    }
+    if (crashes.size() >= crashes_to_quarantine)
+    {
+        quarantine_digest(state, digest, now, actions);
+    }
+}
+
+crash_report_id report_id_of(
+    const upstream_incarnation& crash, std::span<const std::uint64_t> digests)
+{
+    return {crash, XXH3_64bits(digests.data(), digests.size_bytes())};
+}
+
+// Records a report once. Returns false when it was recorded before.
+bool record_crash(
+    quarantine_state& state, const upstream_incarnation& crash,
+    std::span<const std::uint64_t> digests, time_point now,
+    control_actions& actions)
+{
+    const crash_report_id report = report_id_of(crash, digests);
+    if (state.reports.contains(report))
+    {
+        return false;
     }
-    // With several suspects in flight, the crash does not show which of them
-    // caused it. They stay suspects and run one at a time, so that the next
-    // crash does.
-    if (repeated.size() == 1)
+    if (state.reports.size() >= state.settings.max_suspects)
     {
-        quarantine_digest(state, repeated.front(), now, actions);
+        state.reports.erase(state.reports.begin());
     }
+    state.reports.emplace(report, now + state.settings.suspicion_time);
     for (const std::uint64_t digest : digests)
     {
-        add_suspect(state, crash, digest, now);
+        add_suspect(state, crash, digest, now, actions);
     }
     ++state.version;
     return true;
@@ -170,7 +174,7 @@
 {
     const auto reported =
         digests.first(std::min(digests.size(), max_reported_digests));
-    if (!record_crash(state, crash, reported, now, actions))
+    if (reported.empty() || !record_crash(state, crash, reported, now, actions))
     {
         return;
     }
@@ -231,7 +235,7 @@
     {
         return at;
     };
-    erase_expired(state.crashes, now, identity);
+    erase_expired(state.reports, now, identity);
     erase_expired(state.quarantined, now, identity);
     erase_expired(
         state.suspects, now,
@@ -246,7 +250,7 @@
 time_point quarantine_due(const quarantine_state& state)
 {
     time_point due = time_point::max();
-    for (const auto& [incarnation, at] : state.crashes)
+    for (const auto& [report, at] : state.reports)
     {
         due = std::min(due, at);
     }
--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -1,9 +1,10 @@
 // Quarantine of requests that crash the upstreams that run them. Requests in
-// flight when an upstream crashes become suspects. Gates run suspects one at a
-// time. A suspect that ends without a crash is cleared on all nodes; one that
-// is in flight when a second upstream incarnation crashes is quarantined for a
-// bounded time. All tables are bounded. Runs on the control thread; the request
-// path reads a published view.
+// flight when an upstream crashes become suspects, except those of which others
+// have just succeeded. Gates run suspects one at a time. A suspect that ends
+// without a crash is cleared on all nodes. One that is in flight when a third
+// upstream incarnation crashes is quarantined for a bounded time; two crashes
+// at one moment can have another cause. All tables are bounded. Runs on the
+// control thread; the request path reads a published view.
 #pragma once
 
 #include "core/base/random.hpp"
@@ -11,6 +12,7 @@
 #include "core/membership/membership.hpp"
 #include "ports/control_actions.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -26,20 +28,31 @@
     host_id host = host_id::none;
     // Unique within the host; a larger value is newer.
     std::uint64_t incarnation = 0;
-    bool operator==(const upstream_incarnation&) const = default;
-    bool operator<(const upstream_incarnation& other) const
-    {
-        return std::pair(host, incarnation) <
-               std::pair(other.host, other.incarnation);
-    }
+    auto operator<=>(const upstream_incarnation&) const = default;
 };
 
 struct suspect
 {
-    upstream_incarnation first_crash;
+    // The crashes during which it was in flight; less than
+    // crashes_to_quarantine.
+    std::vector<upstream_incarnation> crashes;
     time_point expires_at{};
 };
 
+// A request that was in flight in so many crashes, without a success in
+// between, is quarantined.
+constexpr std::size_t crashes_to_quarantine = 3;
+
+// Identifies a report of a crash. There may be several with different requests,
+// since broken connections are not noticed at the same time.
+struct crash_report_id
+{
+    upstream_incarnation crash;
+    // A hash of the digests.
+    std::uint64_t requests = 0;
+    auto operator<=>(const crash_report_id&) const = default;
+};
+
 struct quarantine_settings
 {
     host_id self = host_id::none;
@@ -56,9 +69,8 @@
     std::map<std::uint64_t, suspect> suspects;
     // The time at which each quarantined digest is admitted again.
     std::map<std::uint64_t, time_point> quarantined;
-    // Recorded crashes and when they expire, so that a repeated report is
-    // ignored.
-    std::map<upstream_incarnation, time_point> crashes;
+    // Recorded reports and when they expire, so that a repeated one is ignored.
+    std::map<crash_report_id, time_point> reports;
     // Incremented with each change of suspects or quarantined digests.
     std::uint64_t version = 0;
 };
@@ -75,7 +87,7 @@
     quarantine_state& state, const quarantine_settings& settings);
 
 // The local upstream crashed in this incarnation while `digests` were in
-// flight.
+// flight. More of them may be reported later.
 void quarantine_on_crash(
     quarantine_state& state, const membership_state& members,
     const upstream_incarnation& crash, std::span<const std::uint64_t> digests,
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -24,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenhold
@@ -77,6 +78,8 @@
     std::optional<std::chrono::milliseconds> timeout;
     std::string idempotency_key;
     std::optional<std::uint64_t> body_size;
+    // The first bytes of the body, the same number each time it is sent.
+    std::string_view body_prefix;
     // Set for a child call: the context of the parent request.
     std::optional<request_context> parent;
     // Set for a child call: the parent's record, from which it takes its share
--- a/src/core/request/call_context.cpp
+++ b/src/core/request/call_context.cpp
@@ -13,8 +13,11 @@
 {
     const std::string text =
         request.method + ' ' + request.target + ' ' + request.idempotency_key;
-    return XXH3_64bits_withSeed(
+    const XXH64_hash_t head = XXH3_64bits_withSeed(
         text.data(), text.size(), static_cast<XXH64_hash_t>(workspace));
+    const std::string_view body = request.body_prefix;
+    return body.empty() ? head
+                        : XXH3_64bits_withSeed(body.data(), body.size(), head);
 }
 
 } // namespace
--- a/tests/adapters/local_gate_test.cpp
+++ b/tests/adapters/local_gate_test.cpp
@@ -187,5 +187,69 @@
     EXPECT_EQ(report_of(node.gate).in_flight, 0U);
 }
 
+// A quarantined request that another host sent, or that had waited at the gate
+// since before its quarantine, crashed one more upstream (BUDGET).
+TEST(local_gate, a_quarantined_request_is_not_started)
+{
+    gate_and_upstream node;
+    node.announce("orders", 1);
+    auto view = std::make_unique<quarantine_view>();
+    view->quarantined = {7};
+    node.services.path.quarantine.publish(std::move(view));
+    const auto work = node.make_work("/order", service_id_of("orders"));
+    work->context.digest = 7;
+    run_at_gate(node.gate, work);
+    const auto reply = node.wait_for_reply(*work);
+    ASSERT_TRUE(reply.failure);
+    EXPECT_EQ(reply.failure->reason, refusal::quarantined);
+    EXPECT_EQ(reply.failure->result, outcome::not_run);
+    {
+        SCOPED_TRACE("another one runs in its slot");
+        const auto other = node.make_work("/other", service_id_of("orders"));
+        run_at_gate(node.gate, other);
+        const auto answered = node.wait_for_reply(*other);
+        ASSERT_TRUE(answered.head);
+        EXPECT_EQ(node.received, std::vector<std::string>{"/other"});
+    }
+}
+
+// Frequent requests were in flight in each crash of an upstream and became
+// suspects with the one that caused it, which hid the cause (BUDGET), slowed
+// them down, and had them refused after another crash (DENIED).
+TEST(local_gate, requests_that_have_just_succeeded_are_no_suspects)
+{
+    gate_and_upstream node;
+    node.announce("orders", 4);
+    std::optional<std::vector<std::uint64_t>> suspects;
+    node.gate.on_crash = [&](const std::vector<std::uint64_t>& digests)
+    {
+        suspects = digests;
+    };
+    const auto run = [&](const std::string& target, std::uint64_t digest)
+    {
+        const auto work = node.make_work(target, service_id_of("orders"));
+        work->context.digest = digest;
+        run_at_gate(node.gate, work);
+        return work;
+    };
+    EXPECT_TRUE(node.wait_for_reply(*run("/frequent", 7)).head);
+    const auto frequent = run("/hang", 7);
+    const auto rare = run("/hang", 8);
+    while (node.received.size() < 3)
+    {
+        node.io.run_one_for(10ms);
+    }
+    const auto cause = run("/crash", 9);
+    EXPECT_TRUE(node.wait_for_reply(*cause).failure);
+    const time_point limit = now() + 10s;
+    while (!suspects && now() < limit)
+    {
+        node.io.run_one_for(10ms);
+    }
+    ASSERT_TRUE(suspects);
+    std::ranges::sort(*suspects);
+    EXPECT_EQ(*suspects, (std::vector<std::uint64_t>{8, 9}));
+}
+
 } // namespace
 } // namespace cyclamenhold
--- a/tests/core/entry_test.cpp
+++ b/tests/core/entry_test.cpp
@@ -91,6 +91,38 @@
     EXPECT_EQ(http_status_of(step.reason, step.result), 503U);
 }
 
+// Requests were quarantined by path and workspace. After one had crashed
+// upstreams, proper ones with another body were refused for minutes (DENIED).
+TEST(entry, quarantine_of_a_request_spares_those_with_another_body)
+{
+    entry_node node;
+    const auto order = [&](call_state& call, std::string_view body)
+    {
+        call_request request;
+        request.method = "POST";
+        request.target = "/bookings/1";
+        request.key = "key";
+        request.body_prefix = body;
+        return begin_call(node.path, call, request, start_time, node.random);
+    };
+    call_state crashing;
+    (void)order(crashing, "crashing");
+    auto view = std::make_unique<quarantine_view>();
+    view->quarantined = {crashing.context.digest};
+    node.path.quarantine.publish(std::move(view));
+    {
+        SCOPED_TRACE("it is refused when it comes again");
+        call_state again;
+        EXPECT_EQ(order(again, "crashing").reason, refusal::quarantined);
+    }
+    for (const char* body : {"", "proper", "crashing, too"})
+    {
+        SCOPED_TRACE(body);
+        call_state other;
+        EXPECT_EQ(order(other, body).kind, call_step_kind::attempt);
+    }
+}
+
 TEST(entry, stale_keys_are_refused)
 {
     entry_node node;
