Bound the bytes that are kept of a message without end

Cause: the line that begins a chunk and the trailer stay in the connection's buffer until they are complete, and the buffer had no maximum. The same holds for requests of callers, replies of the key-value service and the operators' port. The body of a refusal was read to its end before the refusal was reported.

Change: these buffers have a maximum; a message that exceeds it fails as a malformed one. At most 64 KiB are read of a body that nobody gets.

Both new tests failed with the bounds taken out.

--- a/src/adapters/call_driver.hpp
+++ b/src/adapters/call_driver.hpp
@@ -66,12 +66,15 @@
 struct caller_connection
 {
     caller_connection(request_thread& owner, asio::ip::tcp::socket socket)
-        : thread(owner), stream(std::move(socket))
+        : thread(owner),
+          stream(std::move(socket)),
+          buffer(owner.services.limits.max_header_bytes + max_chunk_bytes)
     {
     }
 
     request_thread& thread;
     boost::beast::tcp_stream stream;
+    // Bounded: a line that begins a chunk of a body may come without end.
     boost::beast::flat_buffer buffer;
     std::unique_ptr<caller_parser> parser;
     // The first bytes of the body, at most max_chunk_bytes.
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -20,6 +20,10 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+// The most that is kept of a reply which its parser can't use yet: a head, or a
+// line that begins a chunk.
+constexpr std::size_t max_unparsed_bytes = 128 * 1024;
+
 struct http_connection
 {
     explicit http_connection(const asio::any_io_executor& executor)
@@ -27,7 +31,7 @@
     {
     }
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
 };
 
 namespace
--- a/src/adapters/operators_port.cpp
+++ b/src/adapters/operators_port.cpp
@@ -83,7 +83,9 @@
 serve_connection(operators_api* api, asio::ip::tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    // Bounded: a line that begins a chunk of a body may come without end.
+    constexpr std::size_t max_unparsed_bytes = 128 * 1024;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     bool keep_alive = true;
     while (keep_alive)
     {
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -212,14 +212,22 @@
     co_return error;
 }
 
-// Reads and drops the rest of a reply's body.
+// Reads and drops the rest of a reply's body. An error for a long one: closing
+// the connection costs less than reading it, and it may have no end.
 asio::awaitable<beast::error_code>
 skip_body(upstream_call& call, response_parser& parser)
 {
+    constexpr std::size_t max_skipped_bytes = 64 * 1024;
     auto read_buffer = std::make_unique_for_overwrite<piece_buffer>();
     std::string discarded;
+    std::size_t skipped = 0;
     while (!parser.is_done())
     {
+        skipped += discarded.size();
+        if (skipped > max_skipped_bytes)
+        {
+            co_return http::error::body_limit;
+        }
         const auto error =
             co_await read_piece(call, parser, *read_buffer, discarded);
         if (error)
--- a/src/adapters/upstream_pool.hpp
+++ b/src/adapters/upstream_pool.hpp
@@ -21,6 +21,10 @@
 
 namespace asio = boost::asio;
 
+// The most that is kept of a reply which its parser can't use yet: a head, or a
+// line that begins a chunk. An upstream may send such bytes without end.
+constexpr std::size_t max_unparsed_reply_bytes = 128 * 1024;
+
 struct upstream_connection
 {
     explicit upstream_connection(const asio::any_io_executor& executor)
@@ -29,7 +33,7 @@
     }
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_reply_bytes};
     // The pool's generation at which it was opened; connections of older
     // generations are not reused.
     std::uint64_t generation = 0;
--- a/tests/adapters/upstream_client_test.cpp
+++ b/tests/adapters/upstream_client_test.cpp
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace cyclamenhold
 {
@@ -132,6 +134,7 @@
             return std::uint16_t{0};
         };
         const auto connection = call.connection;
+        last_connection = connection;
         std::optional<upstream_result> result;
         asio::co_spawn(
             io, call_upstream(std::move(call)),
@@ -183,6 +186,7 @@
     answer_script script;
     int requests = 0;
     upstream_notice last_notice;
+    upstream_connection_ptr last_connection;
 };
 
 // An upstream wrote a refusal twice on a kept connection. The same request,
@@ -295,5 +299,60 @@
     }
 }
 
+// Bytes that are no reply came without end: in a head, in the line before a
+// chunk or in a trailer. The node kept them until it ran out of memory, and the
+// requests of other callers ended with it (LOST).
+TEST(upstream_client, bytes_without_end_are_not_kept)
+{
+    const std::string endless(8 * 1024 * 1024, 'x');
+    const std::string head = reply_of(
+        "200 OK", "a",
+        "X-Cyclamenhold-Response-Signature: s\r\n"
+        "Transfer-Encoding: chunked\r\n");
+    const std::vector<std::pair<std::string, std::string>> replies{
+        {"no head", endless},
+        {"field", "HTTP/1.1 200 OK\r\nField: " + endless},
+        {"chunk extension", head + "1;" + endless},
+        {"chunk size", head + std::string(endless.size(), '0')},
+        {"trailer", head + "1\r\na\r\n0\r\nField: " + endless}};
+    for (const auto& [name, bytes] : replies)
+    {
+        SCOPED_TRACE(name);
+        scripted_connection_server upstream(
+            [&bytes = bytes](int, int)
+            {
+                return bytes;
+            });
+        const time_point start = now();
+        const auto received = upstream.send("a");
+        EXPECT_FALSE(received.is_complete);
+        EXPECT_EQ(received.failure, outcome::unknown);
+        EXPECT_LE(
+            upstream.last_connection->buffer.capacity(),
+            max_unparsed_reply_bytes);
+        // The deadline is 2 s away.
+        EXPECT_LT(now() - start, 1s);
+    }
+}
+
+// The body of a refusal came without end. It kept the caller waiting until its
+// deadline, though the request had not run and could be sent elsewhere.
+TEST(upstream_client, a_refusal_with_an_endless_body_is_reported_at_once)
+{
+    scripted_connection_server upstream(
+        [](int, int)
+        {
+            return reply_of(
+                       "503 Service Unavailable", "a",
+                       "X-Cyclamenhold-Not-Executed: 1\r\n"
+                       "Content-Length: 1000000000\r\n") +
+                   std::string(1024 * 1024, 'x');
+        });
+    const time_point start = now();
+    EXPECT_EQ(upstream.send("a").failure, outcome::not_run);
+    EXPECT_LT(now() - start, 1s);
+    EXPECT_TRUE(upstream.pool.idle.empty());
+}
+
 } // namespace
 } // namespace cyclamenhold
