Satisfy the linter in the quarantine's report id and a test

No change of behaviour: clang-tidy takes the comparison that the compiler makes for a comparison with 0. A report is identified by a pair instead.

--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -12,7 +12,6 @@
 #include "core/membership/membership.hpp"
 #include "ports/control_actions.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -28,7 +27,12 @@
     host_id host = host_id::none;
     // Unique within the host; a larger value is newer.
     std::uint64_t incarnation = 0;
-    auto operator<=>(const upstream_incarnation&) const = default;
+    bool operator==(const upstream_incarnation&) const = default;
+    bool operator<(const upstream_incarnation& other) const
+    {
+        return std::pair(host, incarnation) <
+               std::pair(other.host, other.incarnation);
+    }
 };
 
 struct suspect
@@ -43,15 +47,10 @@
 // between, is quarantined.
 constexpr std::size_t crashes_to_quarantine = 3;
 
-// Identifies a report of a crash. There may be several with different requests,
-// since broken connections are not noticed at the same time.
-struct crash_report_id
-{
-    upstream_incarnation crash;
-    // A hash of the digests.
-    std::uint64_t requests = 0;
-    auto operator<=>(const crash_report_id&) const = default;
-};
+// Identifies a report of a crash: the crash and a hash of the digests. There
+// may be several reports with different requests, since broken connections are
+// not noticed at the same time.
+using crash_report_id = std::pair<upstream_incarnation, std::uint64_t>;
 
 struct quarantine_settings
 {
--- a/tests/adapters/local_gate_test.cpp
+++ b/tests/adapters/local_gate_test.cpp
@@ -227,7 +227,7 @@
     };
     const auto run = [&](const std::string& target, std::uint64_t digest)
     {
-        const auto work = node.make_work(target, service_id_of("orders"));
+        auto work = node.make_work(target, service_id_of("orders"));
         work->context.digest = digest;
         run_at_gate(node.gate, work);
         return work;
