--- a/tests/core/document_silence_test.cpp
+++ b/tests/core/document_silence_test.cpp
@@ -130,5 +130,26 @@
     }
 }
 
+// A watch that was sent in the last moments of a silence is lost with it. It
+// must have been given up when the next version comes, so that this one is in
+// force in time (CONFIG).
+TEST(document_silence, a_call_at_its_end_delays_no_later_change)
+{
+    constexpr duration silence = 3300ms;
+    constexpr duration until_change = 3700ms;
+    constexpr duration configuration_bound = 2s;
+    const duration send_delay = platform_connection_settings{}.max_backoff;
+    for (duration phase{}; phase <= 4s; phase += 10ms)
+    {
+        const time_point from = time_point{100s} + phase;
+        const time_point until = from + silence;
+        const silent_platform platform{from, until, until + until_change};
+        ASSERT_LE(
+            time_to_apply(platform, send_delay),
+            until_change + configuration_bound)
+            << "silent from " << to_seconds(phase) << " s";
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
