--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -66,10 +66,9 @@
     }
 }
 
-// Merges the contacts of an ack. Their ages are of the time at which the ack
-// was made, which is not before its probe was sent. The time of arrival is no
-// base: a message may wait in a socket while this process or the link stands
-// still.
+// Merges the contacts of an ack. Their ages count from the time at which its
+// probe was sent, not from its arrival: a message may wait in a socket while
+// this process or the link stands still.
 void merge_contacts(membership_state& state, const membership_message& message)
 {
     const auto probe = state.sent_probes.find(message.sequence);
