--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -531,6 +531,13 @@
         {
             const upstream_incarnation crashed{
                 loop.services.self, loop.upstream.incarnation};
+            event new_event;
+            new_event.kind = event_kind::upstream_crashed;
+            new_event.detail = "incarnation " +
+                               std::to_string(crashed.incarnation) + ", " +
+                               std::to_string(digests.size()) +
+                               " suspects in flight";
+            loop.services.record(new_event);
             run_control_event(
                 loop,
                 [&](control_actions& actions)
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -29,6 +29,7 @@
     upstream_announced,
     upstream_draining,
     upstream_lost,
+    upstream_crashed,
     upstream_ejected,
     member_joined,
     member_suspected,
@@ -56,7 +57,7 @@
 template <>
 struct enum_names<event_kind>
 {
-    static constexpr std::array<std::pair<event_kind, std::string_view>, 37>
+    static constexpr std::array<std::pair<event_kind, std::string_view>, 38>
         table{
             {{event_kind::node_started, "node-started"},
              {event_kind::node_stopping, "node-stopping"},
@@ -73,6 +74,7 @@
              {event_kind::upstream_announced, "upstream-announced"},
              {event_kind::upstream_draining, "upstream-draining"},
              {event_kind::upstream_lost, "upstream-lost"},
+             {event_kind::upstream_crashed, "upstream-crashed"},
              {event_kind::upstream_ejected, "upstream-ejected"},
              {event_kind::member_joined, "member-joined"},
              {event_kind::member_suspected, "member-suspected"},
