Decide how a request ended before its failure is passed on

Callers saw: a request that crashes upstreams ended one more than the reports of crashes name (BUDGET; found beside load with the test of restarted nodes of this issue).

Cause: a gate passed the failure of a broken request on and read afterwards whether the request had been cancelled. The receiver of the failure, on another thread, cancels the exchange; when it was faster, the gate took the request for one whose caller had left, probed nothing and reported no crash.

Change: the gate decides first.

Test: upstream_client.a_broken_request_whose_failure_is_received_is_broken; with the former order it failed (result cancelled, not broken).

--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -48,9 +48,11 @@
     const upstream_call& call, const beast::error_code& error,
     const stream_failure& failure)
 {
-    fail(*call.work, failure, call.report(), call.returned_allowance());
+    // Before the failure is passed on: its receiver, on another thread, cancels
+    // the exchange.
     const gate_result result = result_after(call, error);
     const bool broke = result == gate_result::failed && !call.work->unsent;
+    fail(*call.work, failure, call.report(), call.returned_allowance());
     return {result, broke, false};
 }
 
--- a/tests/adapters/upstream_client_test.cpp
+++ b/tests/adapters/upstream_client_test.cpp
@@ -121,8 +121,12 @@
         call.connection = take_connection(pool, io.get_executor(), id);
         call.endpoint = acceptor.local_endpoint();
         call.names = &names;
-        call.report = []
+        call.report = [this, work]
         {
+            if (cancels_at_report)
+            {
+                cancel(*work);
+            }
             return load_report{};
         };
         call.on_notice = [this](const upstream_notice& notice)
@@ -141,6 +145,7 @@
             [&](const std::exception_ptr&, const upstream_result& ended)
             {
                 result = ended;
+                last_result = ended;
             });
         const time_point limit = now() + 10s;
         while (!result && now() < limit)
@@ -187,6 +192,9 @@
     int requests = 0;
     upstream_notice last_notice;
     upstream_connection_ptr last_connection;
+    upstream_result last_result;
+    // Cancels the request while its failure is being passed on.
+    bool cancels_at_report = false;
 };
 
 // An upstream wrote a refusal twice on a kept connection. The same request,
@@ -354,5 +362,21 @@
     EXPECT_TRUE(upstream.pool.idle.empty());
 }
 
+// The receiver of a failure cancels the exchange. If it did so before the gate
+// had the result, a request under which the upstream broke the connection was
+// taken for a cancelled one, and the crash went unreported (BUDGET).
+TEST(upstream_client, a_broken_request_whose_failure_is_received_is_broken)
+{
+    scripted_connection_server server(
+        [](int, int)
+        {
+            return closing;
+        });
+    server.cancels_at_report = true;
+    server.send("r-1");
+    EXPECT_EQ(server.last_result.result, gate_result::failed);
+    EXPECT_TRUE(server.last_result.broke);
+}
+
 } // namespace
 } // namespace cyclamenhold
