Give nodes that start or were cut off the quarantined requests

Cause: crashes were reported once, to the members of that moment. A node that starts knew no quarantine, and nothing repeated the reports for it or for one that was cut off; after a loss of all nodes none was left that had it. A node that had not found its members yet reported to nobody.

Change: each quarantined request has a key in the platform's store, under a lease that ends with the quarantine. The nodes that reported its crashes write it at once, else the member of each data centre that ranks first for it. Nodes list the keys when they start and watch them. A node that starts copies the tables of three members as well, with the suspects, and accepts no requests before the store or a member has answered (3 s at most). Running nodes compare fingerprints of the table with a member every 5 s and when members return, and then repeat their own reports.

--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -49,7 +49,10 @@
 
 void publish_configuration(control_loop& loop)
 {
-    if (loop.state.chain.current == loop.published_configuration)
+    const auto& current = loop.state.chain.current;
+    const bool may_publish =
+        current->revision == 0 || control_may_serve(loop.state, now());
+    if (current == loop.published_configuration || !may_publish)
     {
         return;
     }
@@ -152,9 +155,10 @@
     handler(actions);
     execute_actions(loop, std::move(actions));
     publish_members(loop);
+    // Before the configuration, with which this node begins to run requests.
+    publish_quarantine(loop);
     publish_configuration(loop);
     publish_key_freshness(loop);
-    publish_quarantine(loop);
     resume_waiting_calls(loop);
     finish_commits(loop);
     loop.busy_us += thread_time_us() - before;
@@ -533,10 +537,9 @@
                 loop.services.self, loop.upstream.incarnation};
             event new_event;
             new_event.kind = event_kind::upstream_crashed;
-            new_event.detail = "incarnation " +
-                               std::to_string(crashed.incarnation) + ", " +
-                               std::to_string(digests.size()) +
-                               " suspects in flight";
+            new_event.detail =
+                "incarnation " + std::to_string(crashed.incarnation) + ", " +
+                std::to_string(digests.size()) + " suspects in flight";
             loop.services.record(new_event);
             run_control_event(
                 loop,
--- a/src/adapters/platform_client.hpp
+++ b/src/adapters/platform_client.hpp
@@ -20,7 +20,8 @@
 struct platform_connection_settings
 {
     boost::asio::ip::tcp::endpoint endpoint;
-    std::size_t connections = 2;
+    // One for each subsystem that may have a call without an answer.
+    std::size_t connections = 4;
     // Watches have separate connections, which they occupy while they wait.
     std::size_t watch_connections = 4;
     // Calls beyond this number are answered `unavailable` at once.
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -63,7 +63,9 @@
     }
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
     claims_tick(state.claims, inputs_of_claims(state), now, random, actions);
-    quarantine_tick(state.quarantine, now);
+    quarantine_tick(
+        state.quarantine, state.membership, wall_clock_ms, now, random,
+        actions);
 }
 
 void control_on_message(
@@ -126,6 +128,10 @@
         rates_on_platform_reply(
             state.rates, inputs_of_rates(state), reply, now, random, actions);
         return;
+    case platform_client::quarantine:
+        quarantine_on_platform_reply(
+            state.quarantine, reply, now, random, actions);
+        return;
     }
 }
 
@@ -140,6 +146,21 @@
          quarantine_due(state.quarantine)});
 }
 
+bool control_may_serve(control_state& state, time_point now)
+{
+    if (state.may_serve || state.chain.current->revision == 0)
+    {
+        return state.may_serve;
+    }
+    if (state.configured_at == time_point{})
+    {
+        state.configured_at = now;
+    }
+    state.may_serve = is_quarantine_known(state.quarantine) ||
+                      now - state.configured_at >= longest_quarantine_wait;
+    return state.may_serve;
+}
+
 void control_leave(
     control_state& state, time_point now, random_source& random,
     control_actions& actions)
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -38,8 +38,15 @@
     quarantine_state quarantine;
     rate_limiter* limiter = nullptr;
     std::uint64_t wall_clock_ms = 0;
+    // When this node first had a configuration; zero if it has none.
+    time_point configured_at{};
+    bool may_serve = false;
 };
 
+// A node that has a configuration but neither the platform's nor a member's
+// quarantine serves without one after this time.
+constexpr duration longest_quarantine_wait = 3s;
+
 // Starts all subsystems. `wall_clock_ms` (since the Unix epoch) becomes the
 // node's incarnation; `limiter` must outlive `state`.
 void control_start(
@@ -59,6 +66,10 @@
 // The time at which control_tick must run next.
 [[nodiscard]] time_point control_due(const control_state& state);
 
+// Whether this node may run requests: it has a configuration and knows the
+// quarantined requests, or has waited for those for long enough.
+[[nodiscard]] bool control_may_serve(control_state& state, time_point now);
+
 // Releases the loans and weight leases that this node holds, and announces to
 // the other members that it stops.
 void control_leave(
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -1,6 +1,10 @@
 #include "core/quarantine/quarantine.hpp"
 
+#include "core/quarantine/quarantine_exchange.hpp"
+#include "core/quarantine/quarantine_gossip.hpp"
 #include "core/quarantine/quarantine_messages.hpp"
+#include "core/quarantine/quarantine_record.hpp"
+#include "core/quarantine/quarantine_table.hpp"
 
 #include <algorithm>
 
@@ -11,112 +15,30 @@
 namespace
 {
 
-constexpr std::uint8_t max_hops = 8;
-// Each host that receives a new report sends it to this many members.
-constexpr std::size_t fan_out = 6;
-
-std::vector<host_id>
-choose_receivers(const membership_state& members, random_source& random)
-{
-    std::vector<host_id> alive;
-    for (const auto& [host, entry] : members.members)
-    {
-        if (entry.state == member_state::alive)
-        {
-            alive.push_back(host);
-        }
-    }
-    std::shuffle(alive.begin(), alive.end(), random);
-    alive.resize(std::min(alive.size(), fan_out));
-    return alive;
-}
-
-void send_to_random_members(
-    const membership_state& members, const quarantine_message& message,
-    random_source& random, control_actions& actions)
-{
-    if (message.hops == 0)
-    {
-        return;
-    }
-    const auto payload = encode_quarantine(message);
-    for (const host_id host : choose_receivers(members, random))
-    {
-        actions.messages.push_back(
-            {host, message_kind::quarantine, transport::stream, payload});
-    }
-}
-
-// Makes room by dropping the suspect that would expire first.
-void evict_oldest_suspect(quarantine_state& state)
-{
-    const auto oldest = std::ranges::min_element(
-        state.suspects, {},
-        [](const auto& entry)
-        {
-            return entry.second.expires_at;
-        });
-    state.suspects.erase(oldest);
-}
-
-void quarantine_digest(
-    quarantine_state& state, std::uint64_t digest, time_point now,
-    control_actions& actions)
-{
-    if (state.quarantined.size() >= state.settings.max_quarantined)
-    {
-        state.quarantined.erase(std::ranges::min_element(
-            state.quarantined, {},
-            [](const auto& entry)
-            {
-                return entry.second;
-            }));
-    }
-    state.suspects.erase(digest);
-    state.quarantined[digest] = now + state.settings.quarantine_time;
-    event quarantined;
-    quarantined.kind = event_kind::request_quarantined;
-    quarantined.detail = "digest " + std::to_string(digest);
-    actions.events.push_back(std::move(quarantined));
-}
-
-// Adds the crash to those of the suspect. Quarantines it if there are enough.
-void add_suspect(
-    quarantine_state& state, const upstream_incarnation& crash,
-    std::uint64_t digest, time_point now, control_actions& actions)
-{
-    if (state.quarantined.contains(digest))
-    {
-        return;
-    }
-    if (state.suspects.size() >= state.settings.max_suspects &&
-        !state.suspects.contains(digest))
-    {
-        evict_oldest_suspect(state);
-    }
-    auto& [crashes, expires_at] = state.suspects[digest];
-    expires_at = now + state.settings.suspicion_time;
-    if (std::ranges::find(crashes, crash) == crashes.end())
-    {
-        crashes.push_back(crash);
-    }
-    if (crashes.size() >= crashes_to_quarantine)
-    {
-        quarantine_digest(state, digest, now, actions);
-    }
-}
-
 crash_report_id report_id_of(
     const upstream_incarnation& crash, std::span<const std::uint64_t> digests)
 {
     return {crash, XXH3_64bits(digests.data(), digests.size_bytes())};
 }
 
+// Whether this node has reported a crash of the suspect.
+bool has_reported(const quarantine_state& state, std::uint64_t digest)
+{
+    const auto found = state.suspects.find(digest);
+    return found != state.suspects.end() &&
+           std::ranges::any_of(
+               found->second.crashes,
+               [&state](const upstream_incarnation& crash)
+               {
+                   return crash.host == state.settings.self;
+               });
+}
+
 // Records a report once. Returns false when it was recorded before.
 bool record_crash(
     quarantine_state& state, const upstream_incarnation& crash,
     std::span<const std::uint64_t> digests, time_point now,
-    control_actions& actions)
+    random_source& random, control_actions& actions)
 {
     const crash_report_id report = report_id_of(crash, digests);
     if (state.reports.contains(report))
@@ -130,7 +52,12 @@
     state.reports.emplace(report, now + state.settings.suspicion_time);
     for (const std::uint64_t digest : digests)
     {
-        add_suspect(state, crash, digest, now, actions);
+        const bool is_reporter =
+            crash.host == state.settings.self || has_reported(state, digest);
+        if (add_suspect(state, crash, digest, now, actions))
+        {
+            record_later(state, digest, is_reporter, now, random);
+        }
     }
     ++state.version;
     return true;
@@ -174,15 +101,18 @@
 {
     const auto reported =
         digests.first(std::min(digests.size(), max_reported_digests));
-    if (reported.empty() || !record_crash(state, crash, reported, now, actions))
+    if (reported.empty() ||
+        !record_crash(state, crash, reported, now, random, actions))
     {
         return;
     }
     quarantine_message message;
+    message.kind = quarantine_message_kind::crash_report;
     message.crash = crash;
     message.digests.assign(reported.begin(), reported.end());
-    message.hops = max_hops;
-    send_to_random_members(members, message, random, actions);
+    start_gossip(members, message, random, actions);
+    // Without a delay: the node may be killed before the next tick.
+    tick_record(state, members, now, random, actions);
 }
 
 void quarantine_on_success(
@@ -195,9 +125,9 @@
         return;
     }
     quarantine_message message;
+    message.kind = quarantine_message_kind::clearance;
     message.digests = {digest};
-    message.hops = max_hops;
-    send_to_random_members(members, message, random, actions);
+    start_gossip(members, message, random, actions);
 }
 
 void quarantine_on_message(
@@ -215,21 +145,44 @@
         actions.events.push_back(std::move(bad));
         return;
     }
-    const bool is_new =
-        decoded->crash
-            ? record_crash(
-                  state, *decoded->crash, decoded->digests, now, actions)
-            : clear_suspects(state, decoded->digests);
-    if (is_new)
+    switch (decoded->kind)
     {
-        decoded->hops = std::min(decoded->hops, max_hops);
-        decoded->hops -= decoded->hops > 0 ? 1 : 0;
-        send_to_random_members(members, *decoded, random, actions);
+    case quarantine_message_kind::crash_report:
+        if (record_crash(
+                state, decoded->crash, decoded->digests, now, random, actions))
+        {
+            forward_gossip(members, *decoded, random, actions);
+            tick_record(state, members, now, random, actions);
+        }
+        return;
+    case quarantine_message_kind::clearance:
+        if (clear_suspects(state, decoded->digests))
+        {
+            forward_gossip(members, *decoded, random, actions);
+        }
+        return;
+    case quarantine_message_kind::table_request:
+        answer_table_request(state, message.from, *decoded, now, actions);
+        return;
+    case quarantine_message_kind::table_copy:
+        merge_table(state, *decoded, now, random, actions);
+        return;
     }
 }
 
-void quarantine_tick(quarantine_state& state, time_point now)
+void quarantine_on_platform_reply(
+    quarantine_state& state, const platform_reply& reply, time_point now,
+    random_source& random, control_actions& actions)
+{
+    handle_record_reply(state, reply, now, random, actions);
+}
+
+void quarantine_tick(
+    quarantine_state& state, const membership_state& members,
+    std::uint64_t wall_clock_ms, time_point now, random_source& random,
+    control_actions& actions)
 {
+    state.wall_clock_ms = wall_clock_ms;
     const auto before = state.suspects.size() + state.quarantined.size();
     const auto identity = [](time_point at)
     {
@@ -245,11 +198,15 @@
         });
     const auto after = state.suspects.size() + state.quarantined.size();
     state.version += after != before ? 1 : 0;
+    tick_exchange(state, members, now, random, actions);
+    tick_record(state, members, now, random, actions);
 }
 
 time_point quarantine_due(const quarantine_state& state)
 {
-    time_point due = time_point::max();
+    time_point due = std::min(
+        {state.exchange.next_request_at, state.exchange.next_check_at,
+         record_due(state.record)});
     for (const auto& [report, at] : state.reports)
     {
         due = std::min(due, at);
@@ -265,6 +222,11 @@
     return due;
 }
 
+bool is_quarantine_known(const quarantine_state& state)
+{
+    return state.record.has_read || state.exchange.has_table;
+}
+
 quarantine_view build_quarantine_view(const quarantine_state& state)
 {
     quarantine_view view;
--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -3,8 +3,10 @@
 // have just succeeded. Gates run suspects one at a time. A suspect that ends
 // without a crash is cleared on all nodes. One that is in flight when a third
 // upstream incarnation crashes is quarantined for a bounded time; two crashes
-// at one moment can have another cause. All tables are bounded. Runs on the
-// control thread; the request path reads a published view.
+// at one moment can have another cause. A node that starts obtains the table
+// from the platform or from members before it runs requests, and nodes that
+// have missed reports catch up. All tables are bounded. Runs on the control
+// thread; the request path reads a published view.
 #pragma once
 
 #include "core/base/random.hpp"
@@ -15,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <span>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -62,9 +65,66 @@
     std::size_t max_quarantined = 1024;
 };
 
+// The exchange of tables with members.
+struct quarantine_exchange
+{
+    // Whether a member that has the fleet's table has sent it since the start.
+    bool has_table = false;
+    time_point next_request_at{};
+    // The members of the last check for new ones, and how many were alive.
+    std::uint64_t members_version = 0;
+    std::size_t alive = 0;
+    time_point next_check_at{};
+};
+
+// When a quarantined request that is not in the platform's record as far as
+// this node knows is to be recorded.
+struct unrecorded_request
+{
+    time_point due{};
+    // Whether this node reported one of the crashes. The reporters record the
+    // request; the members that rank first for it do so only if none of them
+    // did.
+    bool is_reporter = false;
+};
+
+// The record of quarantined requests in the platform's store: one key for each,
+// under a lease that ends with the quarantine.
+struct quarantine_record
+{
+    // Whether the record has been read since the start.
+    bool has_read = false;
+    std::uint64_t last_call_id = 0;
+
+    // The call that reads or watches the record; zero if there is none.
+    std::uint64_t read_call = 0;
+    time_point read_expires_at{};
+    time_point next_read_at{};
+    std::uint32_t read_failures = 0;
+    // The last key of the previous page of a list.
+    std::string after;
+    // Whether the current list has its first page, and whether it is complete,
+    // so that the record is watched from now on.
+    bool has_first_page = false;
+    bool is_listed = false;
+    // The store's revision at the first page of the list, later that of the
+    // last watch, which returns the changes after it.
+    std::uint64_t revision = 0;
+
+    std::map<std::uint64_t, unrecorded_request> unrecorded;
+    // The call that grants a lease or writes a key; zero if there is none.
+    std::uint64_t write_call = 0;
+    time_point write_expires_at{};
+    std::uint64_t write_digest = 0;
+    std::uint64_t write_lease = 0;
+};
+
 struct quarantine_state
 {
     quarantine_settings settings;
+    quarantine_exchange exchange;
+    quarantine_record record;
+    std::uint64_t wall_clock_ms = 0;
     std::map<std::uint64_t, suspect> suspects;
     // The time at which each quarantined digest is admitted again.
     std::map<std::uint64_t, time_point> quarantined;
@@ -103,10 +163,21 @@
     const incoming_message& message, time_point now, random_source& random,
     control_actions& actions);
 
-// Drops expired entries.
-void quarantine_tick(quarantine_state& state, time_point now);
+void quarantine_on_platform_reply(
+    quarantine_state& state, const platform_reply& reply, time_point now,
+    random_source& random, control_actions& actions);
+
+// Drops expired entries, exchanges the table with members and the platform.
+// `wall_clock_ms` counts from the Unix epoch.
+void quarantine_tick(
+    quarantine_state& state, const membership_state& members,
+    std::uint64_t wall_clock_ms, time_point now, random_source& random,
+    control_actions& actions);
 [[nodiscard]] time_point quarantine_due(const quarantine_state& state);
 
+// Whether this node has obtained the fleet's table since its start.
+[[nodiscard]] bool is_quarantine_known(const quarantine_state& state);
+
 [[nodiscard]] quarantine_view
 build_quarantine_view(const quarantine_state& state);
 [[nodiscard]] bool
--- a/src/core/quarantine/quarantine_messages.hpp
+++ b/src/core/quarantine/quarantine_messages.hpp
@@ -12,13 +12,49 @@
 {
 
 constexpr std::size_t max_reported_digests = 1024;
+// Bounds the part of a table's suspects that a node which starts receives.
+constexpr std::size_t max_copied_suspects = 256;
+
+enum class quarantine_message_kind : std::uint8_t
+{
+    // Requests were in flight when an upstream crashed.
+    crash_report,
+    // Suspects ended without a crash.
+    clearance,
+    // Requests the receiver's table.
+    table_request,
+    table_copy
+};
+
+struct quarantined_request
+{
+    std::uint64_t digest = 0;
+    // The rest of its quarantine.
+    duration remaining{};
+};
+
+struct suspect_request
+{
+    std::uint64_t digest = 0;
+    std::vector<upstream_incarnation> crashes;
+};
 
 struct quarantine_message
 {
-    // The crash to report. Without it, the digests are cleared.
-    std::optional<upstream_incarnation> crash;
+    quarantine_message_kind kind = quarantine_message_kind::clearance;
+    // Of a crash report.
+    upstream_incarnation crash;
+    // Of a crash report or a clearance.
     std::vector<std::uint64_t> digests;
     std::uint8_t hops = 0;
+    // Of a request: the fingerprint of the sender's table, and whether the
+    // sender has not obtained the fleet's table since its start.
+    std::uint64_t fingerprint = 0;
+    bool is_starting = false;
+    // Of a copy: the sender's table, and whether it had obtained the fleet's.
+    std::vector<quarantined_request> quarantined;
+    std::vector<suspect_request> suspects;
+    bool is_complete = false;
 };
 
 [[nodiscard]] std::vector<std::uint8_t>
--- a/src/ports/platform.hpp
+++ b/src/ports/platform.hpp
@@ -58,7 +58,8 @@
     membership,
     configuration,
     roster,
-    intent
+    intent,
+    quarantine
 };
 
 struct platform_call
