Keep the age of a suspicion in repeated reports and copies

Cause: each repeated report, and each copy of a table, started the 60 s of a suspicion again. Change: reports and copies carry how old the suspicion is; a crash that is already counted extends nothing. The next watch of the record also starts after a pause when the last one returned nothing, as a store may end watches early.

Test: quarantine_recovery.repeated_reports_and_copies_do_not_extend_a_suspicion; with the age in copies only it failed at the eleventh restart.

--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -34,12 +34,15 @@
                });
 }
 
-// Records a report once. Returns false when it was recorded before.
+// Records a report once; `age` is the time since the crash. Returns false when
+// it was recorded before.
 bool record_crash(
-    quarantine_state& state, const upstream_incarnation& crash,
+    quarantine_state& state, const upstream_incarnation& crash, duration age,
     std::span<const std::uint64_t> digests, time_point now,
     random_source& random, control_actions& actions)
 {
+    const duration longest = state.settings.suspicion_time;
+    const time_point until = now + longest - std::min(age, longest);
     const crash_report_id report = report_id_of(crash, digests);
     if (state.reports.contains(report))
     {
@@ -54,7 +57,7 @@
     {
         const bool is_reporter =
             crash.host == state.settings.self || has_reported(state, digest);
-        if (add_suspect(state, crash, digest, now, actions))
+        if (add_suspect(state, crash, digest, until, now, actions))
         {
             record_later(state, digest, is_reporter, now, random);
         }
@@ -102,7 +105,8 @@
     const auto reported =
         digests.first(std::min(digests.size(), max_reported_digests));
     if (reported.empty() ||
-        !record_crash(state, crash, reported, now, random, actions))
+        !record_crash(
+            state, crash, duration::zero(), reported, now, random, actions))
     {
         return;
     }
@@ -149,7 +153,8 @@
     {
     case quarantine_message_kind::crash_report:
         if (record_crash(
-                state, decoded->crash, decoded->digests, now, random, actions))
+                state, decoded->crash, decoded->age, decoded->digests, now,
+                random, actions))
         {
             forward_gossip(members, *decoded, random, actions);
             tick_record(state, members, now, random, actions);
--- a/src/core/quarantine/quarantine_exchange.cpp
+++ b/src/core/quarantine/quarantine_exchange.cpp
@@ -69,26 +69,31 @@
 // those from before the first member was found.
 void repeat_own_reports(
     const quarantine_state& state, const membership_state& members,
-    random_source& random, control_actions& actions)
+    time_point now, random_source& random, control_actions& actions)
 {
-    std::map<upstream_incarnation, std::vector<std::uint64_t>> reports;
+    std::map<upstream_incarnation, quarantine_message> reports;
     for (const auto& [digest, entry] : state.suspects)
     {
         for (const auto& crash : entry.crashes)
         {
-            if (crash.host == state.settings.self &&
-                reports[crash].size() < max_reported_digests)
+            if (crash.host != state.settings.self)
+            {
+                continue;
+            }
+            quarantine_message& report = reports[crash];
+            if (report.digests.size() < max_reported_digests)
             {
-                reports[crash].push_back(digest);
+                report.digests.push_back(digest);
+                report.age = std::max(
+                    report.age,
+                    state.settings.suspicion_time - (entry.expires_at - now));
             }
         }
     }
-    for (auto& [crash, digests] : reports)
+    for (auto& [crash, report] : reports)
     {
-        quarantine_message report;
         report.kind = quarantine_message_kind::crash_report;
         report.crash = crash;
-        report.digests = std::move(digests);
         start_gossip(members, report, random, actions);
     }
 }
@@ -103,7 +108,7 @@
     const bool returned = have_members_returned(exchange, members, now);
     if (returned)
     {
-        repeat_own_reports(state, members, random, actions);
+        repeat_own_reports(state, members, now, random, actions);
     }
     if (now < exchange.next_request_at && !returned)
     {
@@ -144,7 +149,8 @@
     {
         if (request.is_starting && copy.suspects.size() < max_copied_suspects)
         {
-            copy.suspects.push_back({digest, entry.crashes});
+            copy.suspects.push_back(
+                {digest, entry.crashes, entry.expires_at - now});
         }
     }
     send_to(from, copy, actions);
@@ -163,11 +169,13 @@
             record_later(state, digest, false, now, random);
         }
     }
-    for (const auto& [digest, crashes] : copy.suspects)
+    for (const auto& [digest, crashes, remaining] : copy.suspects)
     {
+        const time_point until =
+            now + std::min(remaining, state.settings.suspicion_time);
         for (const auto& crash : crashes)
         {
-            if (add_suspect(state, crash, digest, now, actions))
+            if (add_suspect(state, crash, digest, until, now, actions))
             {
                 record_later(state, digest, false, now, random);
             }
--- a/src/core/quarantine/quarantine_messages.cpp
+++ b/src/core/quarantine/quarantine_messages.cpp
@@ -17,6 +17,12 @@
 
 constexpr std::size_t max_copied_quarantined = 1024;
 
+std::uint32_t milliseconds_of(duration time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        to_milliseconds(time), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 schema::table_copy_data body_of_copy(const quarantine_message& message)
 {
     schema::table_copy_data body;
@@ -25,16 +31,14 @@
     {
         auto entry = std::make_unique<schema::quarantined_request_data>();
         entry->digest = digest;
-        entry->remaining_ms =
-            static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-                to_milliseconds(remaining), 0,
-                std::numeric_limits<std::uint32_t>::max()));
+        entry->remaining_ms = milliseconds_of(remaining);
         body.quarantined.push_back(std::move(entry));
     }
-    for (const auto& [digest, crashes] : message.suspects)
+    for (const auto& [digest, crashes, remaining] : message.suspects)
     {
         auto entry = std::make_unique<schema::suspect_request_data>();
         entry->digest = digest;
+        entry->remaining_ms = milliseconds_of(remaining);
         for (const auto& [host, incarnation] : crashes)
         {
             entry->crashes.emplace_back(
@@ -50,6 +54,7 @@
 {
     message.kind = quarantine_message_kind::crash_report;
     message.crash = {static_cast<host_id>(body.host), body.life};
+    message.age = std::chrono::milliseconds(body.age_ms);
     message.digests = body.digests;
     message.hops = body.hops;
     return !message.digests.empty() &&
@@ -95,7 +100,8 @@
         {
             return false;
         }
-        suspect_request read{entry->digest, {}};
+        suspect_request read{
+            entry->digest, {}, std::chrono::milliseconds(entry->remaining_ms)};
         for (const auto& crash : entry->crashes)
         {
             read.crashes.push_back(
@@ -139,6 +145,7 @@
         schema::death_report_data body;
         body.host = static_cast<std::uint64_t>(message.crash.host);
         body.life = message.crash.incarnation;
+        body.age_ms = milliseconds_of(message.age);
         body.digests = message.digests;
         body.hops = message.hops;
         root.body.Set(std::move(body));
--- a/src/core/quarantine/quarantine_messages.hpp
+++ b/src/core/quarantine/quarantine_messages.hpp
@@ -37,13 +37,17 @@
 {
     std::uint64_t digest = 0;
     std::vector<upstream_incarnation> crashes;
+    // The rest of its time as a suspect.
+    duration remaining{};
 };
 
 struct quarantine_message
 {
     quarantine_message_kind kind = quarantine_message_kind::clearance;
-    // Of a crash report.
+    // Of a crash report: the crash, and the time since then if the report is
+    // repeated.
     upstream_incarnation crash;
+    duration age{};
     // Of a crash report or a clearance.
     std::vector<std::uint64_t> digests;
     std::uint8_t hops = 0;
--- a/src/core/quarantine/quarantine_record.cpp
+++ b/src/core/quarantine/quarantine_record.cpp
@@ -23,8 +23,8 @@
 constexpr duration watch_time = 20s;
 constexpr duration shortest_backoff = 200ms;
 constexpr duration longest_backoff = 2s;
-// All watches end at the same change; their successors are spread over this
-// time.
+// Until the next watch. All watches end at the same change, and a store may end
+// them early.
 constexpr duration longest_watch_delay = 500ms;
 // When others record a request that its reporters have not recorded, and how
 // often they check for it.
@@ -219,11 +219,7 @@
         return;
     }
     record.revision = std::max(record.revision, reply.revision);
-    record.next_read_at = now;
-    if (!reply.entries.empty())
-    {
-        record.next_read_at += jittered(longest_watch_delay, random);
-    }
+    record.next_read_at = now + jittered(longest_watch_delay, random);
 }
 
 // The rest of the quarantine; zero if there is none.
--- a/src/core/quarantine/quarantine_table.cpp
+++ b/src/core/quarantine/quarantine_table.cpp
@@ -51,7 +51,8 @@
 
 bool add_suspect(
     quarantine_state& state, const upstream_incarnation& crash,
-    std::uint64_t digest, time_point now, control_actions& actions)
+    std::uint64_t digest, time_point until, time_point now,
+    control_actions& actions)
 {
     if (state.quarantined.contains(digest))
     {
@@ -63,10 +64,10 @@
         evict_oldest_suspect(state);
     }
     auto& [crashes, expires_at] = state.suspects[digest];
-    expires_at = now + state.settings.suspicion_time;
     if (std::ranges::find(crashes, crash) == crashes.end())
     {
         crashes.push_back(crash);
+        expires_at = std::max(expires_at, until);
         ++state.version;
     }
     return crashes.size() >= crashes_to_quarantine &&
--- a/src/core/quarantine/quarantine_table.hpp
+++ b/src/core/quarantine/quarantine_table.hpp
@@ -14,10 +14,12 @@
     quarantine_state& state, std::uint64_t digest, time_point until,
     std::string_view source, control_actions& actions);
 
-// Adds the crash to those of the suspect. Quarantines it if there are enough,
-// and returns whether it did.
+// Adds the crash to those of the suspect, which stays one until `until` at
+// least if the crash is new. Quarantines it if there are enough, and returns
+// whether it did.
 bool add_suspect(
     quarantine_state& state, const upstream_incarnation& crash,
-    std::uint64_t digest, time_point now, control_actions& actions);
+    std::uint64_t digest, time_point until, time_point now,
+    control_actions& actions);
 
 } // namespace cyclamenhold
--- a/tests/core/quarantine_recovery_test.cpp
+++ b/tests/core/quarantine_recovery_test.cpp
@@ -154,6 +154,27 @@
     EXPECT_EQ(fleet.count_knowing(crashing), 4U);
 }
 
+// Each repeated report and each copy of a suspect would start its time again,
+// so that a request with few crashes would stay a suspect while nodes restart.
+TEST(quarantine_recovery, repeated_reports_and_copies_do_not_extend_a_suspicion)
+{
+    quarantine_fleet fleet(4);
+    fleet.crash(0, 1, {crashing});
+    for (int restart = 0; restart < 12; ++restart)
+    {
+        fleet.kill(2);
+        fleet.run_for(1s);
+        fleet.start(2);
+        fleet.run_for(4500ms);
+        EXPECT_EQ(restart < 10, !fleet.nodes[2].state->suspects.empty())
+            << restart;
+    }
+    for (const auto& node : fleet.nodes)
+    {
+        EXPECT_TRUE(node.state->suspects.empty());
+    }
+}
+
 TEST(quarantine_recovery, the_record_keeps_within_the_rates_of_the_store)
 {
     quarantine_fleet fleet(40);
@@ -274,7 +295,7 @@
     quarantine_message copy;
     copy.kind = quarantine_message_kind::table_copy;
     copy.quarantined.push_back({7, 90s});
-    copy.suspects.push_back({8, {{quarantine_host(1), 4}}});
+    copy.suspects.push_back({8, {{quarantine_host(1), 4}}, 30s});
     copy.is_complete = true;
     const auto read = decode_quarantine(encode_quarantine(copy));
     ASSERT_TRUE(read);
@@ -282,6 +303,7 @@
     EXPECT_EQ(read->quarantined[0].remaining, 90s);
     ASSERT_EQ(read->suspects.size(), 1U);
     EXPECT_EQ(read->suspects[0].crashes, copy.suspects[0].crashes);
+    EXPECT_EQ(read->suspects[0].remaining, 30s);
     EXPECT_TRUE(read->is_complete);
     {
         SCOPED_TRACE("a suspect with enough crashes for a quarantine");
@@ -290,7 +312,7 @@
     }
     {
         SCOPED_TRACE("more suspects than a node copies");
-        copy.suspects.assign(max_copied_suspects + 1, {8, {}});
+        copy.suspects.assign(max_copied_suspects + 1, {8, {}, 30s});
         EXPECT_FALSE(decode_quarantine(encode_quarantine(copy)));
     }
 }
