Record the role of a host in each shard and what it admits outside pools

The logs did not say from which allowance a request was admitted, so they could not tell whether a workspace's limit was exceeded by hosts that use tokens of an earlier role, by hosts cut off from their pools, or by the holders of pools. rate-role-changed is recorded once a change and shard, with the hosts reached; tokens-outside-pool at most once a second and workspace, and only if a host without the pool used tokens of its own.

token_pools_test passes the role in place of the former flag; it checks the same.

--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -3,6 +3,8 @@
 #include "core/rates/demand_reports.hpp"
 #include "core/rates/rates_context.hpp"
 
+#include <absl/strings/str_format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <optional>
@@ -128,15 +130,81 @@
            static_cast<double>(context.state.pools.hosts.known);
 }
 
+allowance_role role_in(const rates_context& context, std::uint32_t shard)
+{
+    if (holds_pool(context, shard))
+    {
+        return allowance_role::holder;
+    }
+    return silence_of_pools(context, shard) ? allowance_role::cut_off
+                                            : allowance_role::pooled;
+}
+
+// Records each change of this host's role in a shard.
+void update_roles(rates_context& context)
+{
+    demand_share_state& demand = context.state.demand;
+    const pool_hosts& hosts = context.state.pools.hosts;
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        const allowance_role role = role_in(context, shard);
+        if (demand.roles[shard] == role)
+        {
+            continue;
+        }
+        const std::size_t reached = collect_reports(context, shard).hosts;
+        context.actions.events.push_back(
+            {event_kind::rate_role_changed,
+             {},
+             {},
+             host_id::none,
+             absl::StrFormat(
+                 "shard %d: %s, before %s; %d of %d hosts reached", shard,
+                 name_of(role), name_of(demand.roles[shard]), reached,
+                 hosts.known)});
+        demand.roles[shard] = role;
+    }
+}
+
+// Records the admissions by tokens of this host's own, while other hosts hold
+// the pools.
+void record_admissions_outside_pool(rates_context& context)
+{
+    constexpr duration record_interval = 1s;
+    demand_share_state& demand = context.state.demand;
+    if (context.now < demand.next_record_at)
+    {
+        return;
+    }
+    demand.next_record_at = context.now + record_interval;
+    for (const auto& admissions :
+         take_admissions_outside_pool(context.inputs.limiter))
+    {
+        const auto found = context.state.workspaces.find(admissions.workspace);
+        context.actions.events.push_back(
+            {event_kind::tokens_outside_pool,
+             {},
+             admissions.workspace,
+             host_id::none,
+             absl::StrFormat(
+                 "workspace %s, shard %d: %d admitted, role %s",
+                 found == context.state.workspaces.end() ? ""
+                                                         : found->second.name,
+                 shard_of(admissions.workspace), admissions.count,
+                 name_of(admissions.role))});
+    }
+}
+
 void set_shares(rates_context& context)
 {
+    update_roles(context);
     std::array<std::optional<reported_demand>, shard_count> collected;
     for (const auto& [id, workspace] : context.state.workspaces)
     {
         const std::uint32_t shard = shard_of(id);
         double share = 0.0;
-        bool is_pooled = false;
-        if (holds_pool(context, shard))
+        const allowance_role role = context.state.demand.roles[shard];
+        if (role == allowance_role::holder)
         {
             if (!collected[shard])
             {
@@ -148,10 +216,6 @@
         {
             share = share_without_pool(context, *silence);
         }
-        else
-        {
-            is_pooled = true;
-        }
         const auto [per_second, capacity] = spread_burst(
             workspace.rate, workspace.burst,
             {context.state.settings.window, context.state.settings.overage,
@@ -163,7 +227,7 @@
         set_own_allowance(
             context.inputs.limiter, id,
             {share * per_second, std::max(1.0, share * capacity),
-             context.now + demand_report_timeout, is_pooled},
+             context.now + demand_report_timeout, role},
             context.now);
     }
 }
@@ -227,6 +291,7 @@
     sample_own_demand(context);
     report_demand(context);
     set_shares(context);
+    record_admissions_outside_pool(context);
 }
 
 void start_pool(rates_context& context, std::uint32_t shard)
--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -8,6 +8,7 @@
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
 #include "core/rates/pool_hosts.hpp"
+#include "core/rates/rate_limiter.hpp"
 
 #include <array>
 #include <map>
@@ -39,6 +40,10 @@
     std::map<host_id, peer_demand> peers;
     // The shards whose pools this host held at the last tick, one bit a shard.
     std::uint32_t held = 0;
+    // This host's role in each shard.
+    std::array<allowance_role, shard_count> roles{};
+    // When admissions outside pools are recorded next.
+    time_point next_record_at{};
     time_point started_at{};
     time_point sampled_at{};
     time_point next_report_at{};
--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cyclamenhold
 {
@@ -40,7 +41,6 @@
         {
             loan.tokens = std::max(0.0, loan.tokens - 1.0);
             loan.used += 1.0;
-            bucket.admitted += 1.0;
             return true;
         }
     }
@@ -50,7 +50,11 @@
         return false;
     }
     bucket.tokens = std::max(0.0, bucket.tokens - 1.0);
-    bucket.admitted += 1.0;
+    bucket.admitted_outside_pool +=
+        bucket.role == allowance_role::pooled ||
+                bucket.role == allowance_role::cut_off
+            ? 1
+            : 0;
     return true;
 }
 
@@ -75,7 +79,7 @@
     const rate_limiter& limiter, const token_bucket& bucket,
     time_point wait_until, time_point now)
 {
-    if (bucket.is_pooled)
+    if (bucket.role == allowance_role::pooled)
     {
         return bucket.pool_refills_at > wait_until;
     }
@@ -87,9 +91,11 @@
     constexpr duration min_pool_wait = 10ms;
     return {
         token_verdict::refused,
-        bucket.is_pooled ? std::max(min_pool_wait, bucket.pool_refills_at - now)
-                         : expected_wait(bucket),
-        {bucket.tokens, bucket.rate, bucket.capacity, bucket.is_pooled}};
+        bucket.role == allowance_role::pooled
+            ? std::max(min_pool_wait, bucket.pool_refills_at - now)
+            : expected_wait(bucket),
+        {bucket.tokens, bucket.rate, bucket.capacity,
+         bucket.role == allowance_role::pooled}};
 }
 
 } // namespace
@@ -177,7 +183,8 @@
         {
             const bool is_late = request.wait_until <= now;
             const bool is_hopeless =
-                bucket.is_pooled && bucket.pool_refills_at > request.wait_until;
+                bucket.role == allowance_role::pooled &&
+                bucket.pool_refills_at > request.wait_until;
             if (!is_late && remaining.empty() && take_one(bucket, now))
             {
                 results.admitted.push_back(request.waiter);
@@ -240,7 +247,7 @@
     bucket.rate = allowance.rate;
     bucket.capacity = allowance.capacity;
     bucket.valid_until = allowance.valid_until;
-    bucket.is_pooled = allowance.is_pooled;
+    bucket.role = allowance.role;
     bucket.tokens = std::min(bucket.tokens, bucket.capacity);
 }
 
@@ -309,6 +316,23 @@
     }
 }
 
+std::vector<outside_admissions>
+take_admissions_outside_pool(rate_limiter& limiter)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    std::vector<outside_admissions> admissions;
+    for (auto& [workspace, bucket] : limiter.buckets)
+    {
+        if (bucket.admitted_outside_pool != 0)
+        {
+            admissions.push_back(
+                {workspace, bucket.role,
+                 std::exchange(bucket.admitted_outside_pool, 0U)});
+        }
+    }
+    return admissions;
+}
+
 token_demand
 sample_demand(rate_limiter& limiter, workspace_id workspace, time_point now)
 {
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/base/ids.hpp"
+#include "core/base/names.hpp"
 #include "core/base/time.hpp"
 
 #include <atomic>
@@ -31,6 +32,30 @@
     refused
 };
 
+// What a host's own allowance of a workspace is derived from.
+enum class allowance_role : std::uint8_t
+{
+    // The host's own weight, with sharing by weight leases.
+    weight,
+    // Tokens come from a pool at another host.
+    pooled,
+    // The host holds a pool of its data centre.
+    holder,
+    // The host cannot reach a pool.
+    cut_off
+};
+
+template <>
+struct enum_names<allowance_role>
+{
+    static constexpr std::array<std::pair<allowance_role, std::string_view>, 4>
+        table{
+            {{allowance_role::weight, "weight"},
+             {allowance_role::pooled, "pooled"},
+             {allowance_role::holder, "holder"},
+             {allowance_role::cut_off, "cut-off"}}};
+};
+
 // State of a bucket's own allowance, for logs.
 struct bucket_level
 {
@@ -80,15 +105,16 @@
     double capacity = 0.0;
     time_point refilled_at{};
     time_point valid_until = time_point::min();
-    // Tokens come from a pool at another host, which expects none before
-    // `pool_refills_at`.
-    bool is_pooled = false;
+    allowance_role role = allowance_role::weight;
+    // If `role` is `pooled`: the pool expects no tokens before.
     time_point pool_refills_at{};
     std::vector<token_loan> token_loans;
     std::deque<waiting_request> waiters;
     // Requests for a token since the last sample_demand.
     double arrivals = 0.0;
-    double admitted = 0.0;
+    // Requests admitted by tokens of the own allowance while the host did not
+    // hold the pool, since the last take_admissions_outside_pool.
+    std::uint32_t admitted_outside_pool = 0;
 };
 
 // Default limit of the wait for a token; it leaves a request time to run.
@@ -163,8 +189,7 @@
     double rate = 0.0;
     double capacity = 0.0;
     time_point valid_until = time_point::min();
-    // Requests without a token wait for one of a pool at another host.
-    bool is_pooled = false;
+    allowance_role role = allowance_role::weight;
 };
 
 void set_own_allowance(
@@ -190,6 +215,19 @@
 void set_pool_refill(
     rate_limiter& limiter, workspace_id workspace, time_point refills_at);
 
+// Requests admitted by a host's own allowance while it held no pool.
+struct outside_admissions
+{
+    workspace_id workspace = workspace_id::none;
+    allowance_role role = allowance_role::weight;
+    std::uint32_t count = 0;
+};
+
+// The admissions since the last call, of the workspaces that have any, with the
+// present roles.
+[[nodiscard]] std::vector<outside_admissions>
+take_admissions_outside_pool(rate_limiter& limiter);
+
 // Input for requesting loans ahead of demand.
 struct token_demand
 {
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -40,6 +40,8 @@
     configuration_incomplete,
     key_withdrawn,
     steward_changed,
+    rate_role_changed,
+    tokens_outside_pool,
     loan_granted,
     loan_returned,
     claim_granted,
@@ -57,7 +59,7 @@
 template <>
 struct enum_names<event_kind>
 {
-    static constexpr std::array<std::pair<event_kind, std::string_view>, 38>
+    static constexpr std::array<std::pair<event_kind, std::string_view>, 40>
         table{
             {{event_kind::node_started, "node-started"},
              {event_kind::node_stopping, "node-stopping"},
@@ -85,6 +87,8 @@
              {event_kind::configuration_incomplete, "configuration-incomplete"},
              {event_kind::key_withdrawn, "key-withdrawn"},
              {event_kind::steward_changed, "steward-changed"},
+             {event_kind::rate_role_changed, "rate-role-changed"},
+             {event_kind::tokens_outside_pool, "tokens-outside-pool"},
              {event_kind::loan_granted, "loan-granted"},
              {event_kind::loan_returned, "loan-returned"},
              {event_kind::claim_granted, "claim-granted"},
--- a/tests/core/token_pools_test.cpp
+++ b/tests/core/token_pools_test.cpp
@@ -232,7 +232,8 @@
     rate_limiter limiter;
     limiter.longest_wait = 200ms;
     limit_workspaces(limiter, {school}, now);
-    set_own_allowance(limiter, school, {0.0, 1.0, now + 3s, true}, now);
+    set_own_allowance(
+        limiter, school, {0.0, 1.0, now + 3s, allowance_role::pooled}, now);
     EXPECT_EQ(
         take_token(limiter, school, 1, now + 5s, now).verdict,
         token_verdict::waiting);
