Drop the tokens of an earlier role

What callers saw: on the large site a workspace that became busy in the first seconds got more than its limit (QUOTA 671 of 640, 71 of 66, 752 of 634).

Cause: a node that starts holds the pools of all shards until it has met others. It earned a token of each workspace then, and kept it when it turned to the tokens of another host's pool, since the capacity there is one token and its term is renewed. Tokens of a pool that were returned by requests that did not run stayed in that bucket in the same way.

Now tokens end with the role in which they were earned, and a returned token keeps its first term of 1 s.

--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-// Rounding error of token counts: this much less than one token counts as one.
-constexpr double token_epsilon = 1e-9;
-
 void refill(token_bucket& bucket, time_point now)
 {
     if (now >= bucket.valid_until)
@@ -98,6 +95,21 @@
          bucket.role == allowance_role::pooled}};
 }
 
+void push_pool_tokens(
+    token_bucket& bucket, double tokens, time_point expires_at, time_point now)
+{
+    std::erase_if(
+        bucket.token_loans,
+        [now](const token_loan& loan)
+        {
+            return loan.expires_at <= now || loan.tokens < 1.0 - token_epsilon;
+        });
+    token_loan loan;
+    loan.tokens = tokens;
+    loan.expires_at = expires_at;
+    bucket.token_loans.push_back(loan);
+}
+
 } // namespace
 
 token_answer
@@ -142,15 +154,22 @@
     return {token_verdict::waiting};
 }
 
-void return_token(rate_limiter& limiter, workspace_id workspace, time_point now)
+void return_token(
+    rate_limiter& limiter, workspace_id workspace, time_point taken_at,
+    time_point now)
 {
     const std::scoped_lock lock(limiter.mutex);
     const auto found = limiter.buckets.find(workspace);
-    if (found == limiter.buckets.end())
+    if (found == limiter.buckets.end() || now - taken_at >= returnable_for)
     {
         return;
     }
     token_bucket& bucket = found->second;
+    if (bucket.role == allowance_role::pooled)
+    {
+        push_pool_tokens(bucket, 1.0, taken_at + returnable_for, now);
+        return;
+    }
     refill(bucket, now);
     bucket.tokens = std::min(bucket.capacity, bucket.tokens + 1.0);
 }
@@ -244,6 +263,12 @@
     }
     token_bucket& bucket = found->second;
     refill(bucket, now);
+    // Tokens earned in one role were not counted by those who divide the rate
+    // in the next.
+    if (bucket.role != allowance.role)
+    {
+        bucket.tokens = 0.0;
+    }
     bucket.rate = allowance.rate;
     bucket.capacity = allowance.capacity;
     bucket.valid_until = allowance.valid_until;
@@ -281,17 +306,7 @@
     {
         return;
     }
-    auto& token_loans = found->second.token_loans;
-    std::erase_if(
-        token_loans,
-        [now](const token_loan& loan)
-        {
-            return loan.expires_at <= now || loan.tokens < 1.0 - token_epsilon;
-        });
-    token_loan loan;
-    loan.tokens = tokens;
-    loan.expires_at = expires_at;
-    token_loans.push_back(loan);
+    push_pool_tokens(found->second, tokens, expires_at, now);
 }
 
 void set_pool_refill(
@@ -305,17 +320,6 @@
     }
 }
 
-void add_token_loan(
-    rate_limiter& limiter, workspace_id workspace, token_loan loan)
-{
-    const std::scoped_lock lock(limiter.mutex);
-    if (const auto found = limiter.buckets.find(workspace);
-        found != limiter.buckets.end())
-    {
-        found->second.token_loans.push_back(loan);
-    }
-}
-
 std::vector<outside_admissions>
 take_admissions_outside_pool(rate_limiter& limiter)
 {
@@ -359,54 +363,4 @@
     return demand;
 }
 
-std::vector<token_loan_report> report_token_loans(
-    rate_limiter& limiter, workspace_id workspace, time_point close_before,
-    time_point now)
-{
-    const std::scoped_lock lock(limiter.mutex);
-    std::vector<token_loan_report> reports;
-    const auto found = limiter.buckets.find(workspace);
-    if (found == limiter.buckets.end())
-    {
-        return reports;
-    }
-    auto& token_loans = found->second.token_loans;
-    std::erase_if(
-        token_loans,
-        [now](const token_loan& loan)
-        {
-            return loan.expires_at <= now;
-        });
-    for (auto& loan : token_loans)
-    {
-        if (loan.tokens < 1.0 - token_epsilon || loan.expires_at < close_before)
-        {
-            loan.closed = true;
-        }
-        if (loan.closed || loan.used > loan.reported_used)
-        {
-            reports.push_back(
-                {loan.loan_id, loan.lender, loan.used, loan.closed});
-            loan.reported_used = loan.used;
-        }
-    }
-    return reports;
-}
-
-void drop_token_loan(
-    rate_limiter& limiter, workspace_id workspace, std::uint64_t loan_id)
-{
-    const std::scoped_lock lock(limiter.mutex);
-    if (const auto found = limiter.buckets.find(workspace);
-        found != limiter.buckets.end())
-    {
-        std::erase_if(
-            found->second.token_loans,
-            [loan_id](const token_loan& loan)
-            {
-                return loan.loan_id == loan_id && loan.closed;
-            });
-    }
-}
-
 } // namespace cyclamenhold
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -117,6 +117,9 @@
     std::uint32_t admitted_outside_pool = 0;
 };
 
+// Rounding error of token counts: this much less than one token counts as one.
+constexpr double token_epsilon = 1e-9;
+
 // Default limit of the wait for a token; it leaves a request time to run.
 constexpr duration max_token_wait = 500ms;
 
@@ -152,9 +155,12 @@
 [[nodiscard]] token_answer
 bucket_refusal(rate_limiter& limiter, workspace_id workspace, time_point now);
 
-// Returns the token of a request that has not run.
+// Returns the token of a request that has not run, unless it was taken longer
+// than `returnable_for` ago: the rate has been used by others meanwhile.
+constexpr duration returnable_for = 1s;
 void return_token(
-    rate_limiter& limiter, workspace_id workspace, time_point now);
+    rate_limiter& limiter, workspace_id workspace, time_point taken_at,
+    time_point now);
 
 // Removes a waiting request, for example after a disconnect of its caller.
 void cancel_wait(
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -386,6 +386,7 @@
     {
     case token_verdict::admitted:
         call.holds_token = true;
+        call.token_taken_at = now;
         return continue_after_token(path, call, now, random);
     case token_verdict::refused:
         call.ended_without_load_signal = true;
@@ -415,6 +416,7 @@
             rate_inputs(*tables, call.workspace, answer));
     }
     call.holds_token = true;
+    call.token_taken_at = now;
     return continue_after_token(path, call, now, random);
 }
 
@@ -517,7 +519,8 @@
     if (call.holds_token && !call.may_have_run && !call.has_run &&
         path.treats_keyless_as_calls)
     {
-        return_token(path.limiter, call.context.workspace, now);
+        return_token(
+            path.limiter, call.context.workspace, call.token_taken_at, now);
     }
     if (!call.answered && call.context.digest != 0)
     {
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -146,6 +146,7 @@
     // Holds a token of its workspace, which is returned when the request does
     // not run.
     bool holds_token = false;
+    time_point token_taken_at{};
     // An upstream replied.
     bool has_run = false;
     // The caller re-sent a request that was refused or failed before.
--- a/tests/core/demand_shares_test.cpp
+++ b/tests/core/demand_shares_test.cpp
@@ -221,7 +221,7 @@
         ++taken;
     }
     EXPECT_GE(taken, 99);
-    return_token(limiter, school, fleet.now);
+    return_token(limiter, school, fleet.now, fleet.now);
     EXPECT_EQ(
         take_token(limiter, school, 1, fleet.now, fleet.now).verdict,
         token_verdict::admitted);
