Let the holders of token pools confirm each other's demand

Cause: a share was bound to a time and not to what the others count. In a cut the second host of a data centre held the pool 0.16 s later, with the demand of the first, which kept its share for 3 s (two holders for 1 to 5 s in the logs). In a cut of a data centre, with no second holder, each side went on dividing by the old demand of the other while its own had risen.

Now reports are answered. A holder counts its own demand only as far as all others that it hears from have confirmed it, so the shares add up to one at most whatever is lost; a new holder uses nothing before the others know of it; a share ends before others stop counting it; after that a data centre counts by the part of its pool hosts that confirm.

--- a/src/core/rates/demand_reports.hpp
+++ b/src/core/rates/demand_reports.hpp
@@ -12,22 +12,11 @@
 [[nodiscard]] std::uint32_t held_shards(const rates_context& context);
 
 // Reports the demand at this host's pools to the other pool hosts of their
-// shards, at each demand_report_interval.
+// shards, at each demand_report_interval. Sends reports without an answer
+// again.
 void report_demand(rates_context& context);
 
-// Drops the reports of hosts that have left.
+// Drops what is known of hosts that hold no pool and send no messages.
 void drop_departed_peers(rates_context& context);
 
-// What the other pool hosts of one shard have reported recently.
-struct reported_demand
-{
-    demand_by_workspace per_second;
-    // Alive hosts of this data centre, and of all from which a report came.
-    std::size_t local_hosts = 1;
-    std::size_t hosts = 1;
-};
-
-[[nodiscard]] reported_demand
-collect_reports(const rates_context& context, std::uint32_t shard);
-
 } // namespace cyclamenhold
--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -1,13 +1,16 @@
 #include "core/rates/demand_shares.hpp"
 
 #include "core/rates/demand_reports.hpp"
+#include "core/rates/rate_parts.hpp"
 #include "core/rates/rates_context.hpp"
+#include "core/rates/reported_demand.hpp"
 
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 namespace cyclamenhold
 {
@@ -64,13 +67,13 @@
     arrivals.clear();
 }
 
-// Takes over the demand that another host of this data centre has reported for
+// Starts with the demand that another host of this data centre has reported for
 // a pool that this host has begun to hold.
 void take_over_demand(rates_context& context, std::uint32_t shards)
 {
     demand_share_state& demand = context.state.demand;
     const auto& members = context.inputs.members.members;
-    for (auto& [host, peer] : demand.peers)
+    for (const auto& [host, peer] : demand.peers)
     {
         const auto found = members.find(host);
         if (found == members.end() ||
@@ -78,92 +81,124 @@
         {
             continue;
         }
-        for (auto& [id, per_second] : peer.per_second)
+        for (std::uint32_t shard = 0; shard < shard_count; ++shard)
         {
-            if ((shards >> shard_of(id) & 1U) != 0)
+            if ((shards >> shard & 1U) == 0)
+            {
+                continue;
+            }
+            for (const auto& [id, per_second] : peer.shards[shard].per_second)
             {
                 double& own = demand.own[id];
-                own = std::max(own, std::exchange(per_second, 0.0));
-                demand.reported[id] = own;
+                own = std::max(own, per_second);
             }
         }
     }
 }
 
+// Begins to hold the pools of these shards, and lets the other holders know.
+void begin_to_hold(rates_context& context, std::uint32_t shards)
+{
+    demand_share_state& demand = context.state.demand;
+    if (shards == 0)
+    {
+        return;
+    }
+    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    {
+        if ((shards >> shard & 1U) != 0)
+        {
+            demand.held_since[shard] = context.now;
+        }
+    }
+    take_over_demand(context, shards);
+    demand.next_report_at = context.now;
+}
+
 // The share of a pool that this host holds.
 double share_of_pool(
     const rates_context& context, workspace_id id, const workspace& settings,
-    const reported_demand& others)
+    const reported_demand& reports)
 {
-    const demand_share_state& demand = context.state.demand;
-    const pool_hosts& hosts = context.state.pools.hosts;
-    const bool is_starting_alone =
-        context.now - demand.started_at < startup_time && hosts.known == 1;
-    if (is_starting_alone)
+    if (!reports.is_announced)
     {
-        return startup_share;
+        return 0.0;
     }
-    const std::size_t known = std::max(others.hosts, hosts.known);
-    const double assumed_by_host =
-        assumed_demand * settings.rate / static_cast<double>(known);
+    const pool_hosts& hosts = context.state.pools.hosts;
+    const double assumed_by_host = assumed_demand * settings.rate /
+                                   static_cast<double>(reports.known_hosts);
     const bool is_first =
         is_first_pool_host(hosts, context.state.settings.self, shard_of(id));
-    const auto reported = demand.reported.find(id);
-    const auto other = others.per_second.find(id);
+    const auto own = reports.own.find(id);
+    const auto other = reports.others.find(id);
     const double own_demand =
-        (reported == demand.reported.end() ? 0.0 : reported->second) +
-        (is_first ? assumed_by_host * static_cast<double>(others.local_hosts)
+        (own == reports.own.end() ? 0.0 : own->second) +
+        (is_first ? assumed_by_host * static_cast<double>(reports.local_hosts)
                   : 0.0);
     const double other_demand =
-        (other == others.per_second.end() ? 0.0 : other->second) +
+        (other == reports.others.end() ? 0.0 : other->second) +
         assumed_by_host *
-            static_cast<double>(others.hosts - others.local_hosts);
-    return demand_share({own_demand, other_demand, others.hosts, known});
+            static_cast<double>(reports.hosts - reports.local_hosts);
+    return demand_share(
+        {own_demand, other_demand, reports.confirming_hosts,
+         reports.known_hosts});
 }
 
-// The share of a host that cannot reach a pool. The pools stop using it once
-// they detect that the host is gone.
-double share_without_pool(const rates_context& context, duration silence)
+// Whether no other pool host has confirmed a report within the
+// confirmation_term, though there are other hosts.
+bool is_cut_off(const rates_context& context, const reported_demand& reports)
 {
-    constexpr double share_before_detection = 0.5;
-    return (silence < demand_report_timeout ? share_before_detection : 1.0) /
-           static_cast<double>(context.state.pools.hosts.known);
+    return reports.known_hosts > 1 &&
+           context.now - reports.confirmed_at > confirmation_term;
 }
 
-allowance_role role_in(const rates_context& context, std::uint32_t shard)
+// For how long this host reaches neither a pool nor another holder; zero if it
+// does.
+duration silence_in(
+    const rates_context& context, std::uint32_t shard,
+    const reported_demand& reports)
 {
     if (holds_pool(context, shard))
     {
-        return allowance_role::holder;
+        return reports.is_announced && is_cut_off(context, reports)
+                   ? context.now - std::max(
+                                       reports.confirmed_at,
+                                       context.state.demand.held_since[shard])
+                   : duration::zero();
     }
-    return silence_of_pools(context, shard) ? allowance_role::cut_off
-                                            : allowance_role::pooled;
+    return silence_of_pools(context, shard).value_or(duration::zero());
 }
 
-// Records each change of this host's role in a shard.
-void update_roles(rates_context& context)
+allowance_role
+role_in(const rates_context& context, std::uint32_t shard, duration silence)
 {
-    demand_share_state& demand = context.state.demand;
-    const pool_hosts& hosts = context.state.pools.hosts;
-    for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    if (silence > duration::zero())
     {
-        const allowance_role role = role_in(context, shard);
-        if (demand.roles[shard] == role)
-        {
-            continue;
-        }
-        const std::size_t reached = collect_reports(context, shard).hosts;
-        context.actions.events.push_back(
-            {event_kind::rate_role_changed,
-             {},
-             {},
-             host_id::none,
-             absl::StrFormat(
-                 "shard %d: %s, before %s; %d of %d hosts reached", shard,
-                 name_of(role), name_of(demand.roles[shard]), reached,
-                 hosts.known)});
-        demand.roles[shard] = role;
+        return allowance_role::cut_off;
+    }
+    return holds_pool(context, shard) ? allowance_role::holder
+                                      : allowance_role::pooled;
+}
+
+void set_role(
+    rates_context& context, std::uint32_t shard, allowance_role role,
+    const reported_demand& reports)
+{
+    allowance_role& current = context.state.demand.roles[shard];
+    if (current == role)
+    {
+        return;
     }
+    context.actions.events.push_back(
+        {event_kind::rate_role_changed,
+         {},
+         {},
+         host_id::none,
+         absl::StrFormat(
+             "shard %d: %s, before %s; %d of %d hosts reached", shard,
+             name_of(role), name_of(current), reports.confirming_hosts,
+             context.state.pools.hosts.known)});
+    current = role;
 }
 
 // Records the admissions by tokens of this host's own, while other hosts hold
@@ -195,39 +230,60 @@
     }
 }
 
+// The allowance of a host that reaches neither a pool nor another holder: the
+// reserve until the holders have detected that, its part of all hosts later.
+spread_rate part_of_cut_off_host(
+    const workspace& settings, const rate_tolerance& tolerance,
+    const reported_demand& reports, duration silence)
+{
+    const double share = 1.0 / static_cast<double>(reports.known_hosts);
+    if (silence >= pool_detection_time)
+    {
+        return part_of_rate(
+            spread_burst(settings.rate, settings.burst, tolerance), share,
+            tolerance.window);
+    }
+    const double reserve =
+        unreached_reserve(settings.rate, settings.burst, tolerance);
+    return part_of_rate({0.0, reserve}, share, tolerance.window);
+}
+
 void set_shares(rates_context& context)
 {
-    update_roles(context);
+    const rates_settings& settings = context.state.settings;
+    const rate_tolerance tolerance{
+        settings.window, settings.overage, settings.slack};
     std::array<std::optional<reported_demand>, shard_count> collected;
     for (const auto& [id, workspace] : context.state.workspaces)
     {
         const std::uint32_t shard = shard_of(id);
-        double share = 0.0;
-        const allowance_role role = context.state.demand.roles[shard];
+        if (!collected[shard])
+        {
+            collected[shard] =
+                holds_pool(context, shard) || silence_of_pools(context, shard)
+                    ? collect_reports(context, shard)
+                    : reported_demand{};
+        }
+        const reported_demand& reports = *collected[shard];
+        const duration silence = silence_in(context, shard, reports);
+        const allowance_role role = role_in(context, shard, silence);
+        set_role(context, shard, role, reports);
+        spread_rate part;
         if (role == allowance_role::holder)
         {
-            if (!collected[shard])
-            {
-                collected[shard] = collect_reports(context, shard);
-            }
-            share = share_of_pool(context, id, workspace, *collected[shard]);
+            part = part_of_rate(
+                spread_burst(workspace.rate, workspace.burst, tolerance),
+                share_of_pool(context, id, workspace, reports),
+                tolerance.window);
         }
-        else if (const auto silence = silence_of_pools(context, shard))
+        else if (role == allowance_role::cut_off && !is_starting(context))
         {
-            share = share_without_pool(context, *silence);
+            part = part_of_cut_off_host(workspace, tolerance, reports, silence);
         }
-        const auto [per_second, capacity] = spread_burst(
-            workspace.rate, workspace.burst,
-            {context.state.settings.window, context.state.settings.overage,
-             context.state.settings.slack});
-        // A bucket with a capacity below one token would never admit a request.
-        // That of a host without a pool holds returned tokens. A share ends
-        // with the reports that it was computed from, so that a host that was
-        // paused does not use it.
         set_own_allowance(
             context.inputs.limiter, id,
-            {share * per_second, std::max(1.0, share * capacity),
-             context.now + demand_report_timeout, role},
+            {part.per_second, part.capacity, context.now + allowance_term,
+             role},
             context.now);
     }
 }
@@ -244,29 +300,6 @@
                : reachable_part * inputs.own_demand / all;
 }
 
-spread_rate
-spread_burst(double rate, double burst, const rate_tolerance& tolerance)
-{
-    if (tolerance.window <= duration::zero())
-    {
-        return {rate, burst};
-    }
-    // The part of the burst that goes into the refill rate over the window; the
-    // rest goes into the capacity.
-    constexpr double steady_part = 0.75;
-    // The parts of the tolerance that go into the capacity. The rest is left
-    // for demand that moves between hosts before their reports arrive.
-    constexpr double overage_part = 0.6;
-    constexpr double slack_part = 0.9;
-    const double seconds = to_seconds(tolerance.window);
-    const double allowed_error =
-        overage_part * tolerance.overage * (rate * seconds + burst) +
-        slack_part * tolerance.slack;
-    return {
-        rate + steady_part * burst / seconds,
-        (1.0 - steady_part) * burst + allowed_error};
-}
-
 void tick_demand_shares(rates_context& context)
 {
     demand_share_state& demand = context.state.demand;
@@ -286,8 +319,7 @@
         context.inputs.members, context.now);
     drop_departed_peers(context);
     const std::uint32_t held = held_shards(context);
-    take_over_demand(context, held & ~demand.held);
-    demand.held = held;
+    begin_to_hold(context, held & ~std::exchange(demand.held, held));
     sample_own_demand(context);
     report_demand(context);
     set_shares(context);
@@ -296,8 +328,10 @@
 
 void start_pool(rates_context& context, std::uint32_t shard)
 {
-    take_over_demand(context, 1U << shard);
-    context.state.demand.held |= 1U << shard;
+    const std::uint32_t held = 1U << shard;
+    begin_to_hold(context, held & ~context.state.demand.held);
+    context.state.demand.held |= held;
+    report_demand(context);
     set_shares(context);
 }
 
--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -1,8 +1,12 @@
 // Demand-proportional shares: the hosts that hold a token pool of a workspace
 // report the demand there to each other, and each uses the part of the rate
-// that its demand is of all demand. In a network partition, each side uses only
-// the part of the rate that its hosts are of all hosts, so that the sides
-// together stay within the rate.
+// that its demand is of all demand.
+//
+// The shares of all holders add up to at most one, whatever messages are lost:
+// a holder divides by the newest demands that it has received, and counts its
+// own demand only as far as every other holder has confirmed it. Its share ends
+// before others stop counting it. After that, each side of a network partition
+// uses the part of the rate that its hosts are of all hosts.
 #pragma once
 
 #include "core/base/ids.hpp"
@@ -11,6 +15,8 @@
 #include "core/rates/rate_limiter.hpp"
 
 #include <array>
+#include <cstdint>
+#include <deque>
 #include <map>
 
 namespace cyclamenhold
@@ -22,24 +28,59 @@
 // Requests a second, by workspace.
 using demand_by_workspace = std::map<workspace_id, double>;
 
-// The last demand report of another pool host.
-struct peer_demand
+// Requests a second, by shard and workspace.
+using demand_by_shard = std::array<demand_by_workspace, shard_count>;
+
+// Own demand as reported for some time. The ids of its reports begin with
+// `first_report`.
+struct reported_version
 {
-    // By shard.
-    std::array<time_point, shard_count> received_at{};
+    std::uint64_t first_report = 0;
+    time_point reported_at{};
+    demand_by_shard per_second;
+};
+
+// What this host and another pool host know of each other in one shard.
+struct peer_shard
+{
+    // The newest message, and when it arrived.
+    std::uint64_t last_report = 0;
+    time_point received_at{};
+    // The demand in it.
     demand_by_workspace per_second;
+    // When own demand was last sent, and how often since it last changed.
+    time_point sent_at{};
+    std::uint32_t sent_count = 0;
+    // When the newest own demand that the host has confirmed was first
+    // reported.
+    time_point confirmed_at{};
+    // The least own demand that the host may count at present: that of the last
+    // report it has confirmed, or of a later one.
+    demand_by_workspace confirmed;
+};
+
+struct peer_demand
+{
+    std::array<peer_shard, shard_count> shards;
+    // The hosts that it knows.
+    std::size_t hosts_known = 0;
 };
 
 struct demand_share_state
 {
     // Demand at the pools of this host.
     demand_by_workspace own;
-    // Own demand as last reported to the others. Shares are computed from it,
-    // so that all hosts use the same values and their shares add up to one.
-    demand_by_workspace reported;
+    // Own demand as reported to the others, the present one last. Versions that
+    // nobody counts any more are dropped.
+    std::deque<reported_version> reported;
     std::map<host_id, peer_demand> peers;
-    // The shards whose pools this host held at the last tick, one bit a shard.
+    // The shards whose pools this host held at the last tick, and in its last
+    // report, one bit a shard.
     std::uint32_t held = 0;
+    std::uint32_t reported_shards = 0;
+    // Since when this host holds the pools, by shard.
+    std::array<time_point, shard_count> held_since{};
+    std::uint64_t last_report = 0;
     // This host's role in each shard.
     std::array<allowance_role, shard_count> roles{};
     // When admissions outside pools are recorded next.
@@ -51,12 +92,23 @@
 
 // Interval of demand reports to the other pool hosts of a shard.
 constexpr duration demand_report_interval = 500ms;
-// A pool host without a report for this time (six reports in a row are lost)
-// may be on the other side of a network partition, with its data centre.
-constexpr duration demand_report_timeout = 3s;
-// The part of each rate that a starting host uses for the first `startup_time`,
-// while the membership has no other host.
-constexpr double startup_share = 0.125;
+// A report without an answer is sent again after this time, and after twice as
+// long each further time.
+constexpr duration demand_report_retry = 100ms;
+// A holder uses a share for this time after it sent the last report that
+// another holder has answered.
+constexpr duration confirmation_term = 1500ms;
+// Allowances end this time after they were set, so that a host that was paused
+// does not use them.
+constexpr duration allowance_term = 500ms;
+// The demand of a pool host that sends no message for this time is not counted.
+// It uses its share no longer.
+constexpr duration demand_report_timeout = confirmation_term + allowance_term;
+// Hosts without a pool use no more than what is reserved for them for this
+// time, in which the holders detect that they cannot be reached.
+constexpr duration pool_detection_time = 3s;
+// A host that has started holds no pool for this time, in which it meets the
+// others.
 constexpr duration startup_time = 2s;
 
 // Demands in requests a second.
@@ -65,40 +117,19 @@
     double own_demand = 0.0;
     // Of the other pool hosts with a recent report.
     double other_demand = 0.0;
-    // Hosts of the data centres of which a pool host has reported, and all
-    // hosts. Both counts include this host.
+    // Hosts of the data centres of which a pool host has confirmed a report,
+    // and all hosts. Both counts include this host.
     std::size_t hosts_reporting = 1;
     std::size_t hosts_known = 1;
 };
 // The part of a rate that a host may use, in [0, 1].
 [[nodiscard]] double demand_share(const share_inputs& inputs);
 
-// Refill rate and capacity of the buckets of all hosts together. No window
-// admits more than rate x window + burst, plus a part of the tolerance. That
-// part goes into the capacity: shallow buckets at many hosts would refuse
-// callers who stay within the rate but arrive irregularly.
-struct spread_rate
-{
-    // Tokens a second.
-    double per_second = 0.0;
-    // Tokens.
-    double capacity = 0.0;
-};
-struct rate_tolerance
-{
-    // See rates_settings.
-    duration window{};
-    double overage = 0.0;
-    double slack = 0.0;
-};
-[[nodiscard]] spread_rate
-spread_burst(double rate, double burst, const rate_tolerance& tolerance);
-
 // Samples and reports the demand at this host's pools and sets the limiter's
 // allowances.
 void tick_demand_shares(rates_context& context);
-// Sets the allowances of a shard whose pool this host has begun to hold. Takes
-// over the demand that another pool host of this data centre has reported.
+// Begins to hold the pool of a shard. Its allowances are zero until the other
+// holders have confirmed that they know of it.
 void start_pool(rates_context& context, std::uint32_t shard);
 // When tick_demand_shares is due next.
 [[nodiscard]] time_point demand_shares_due(const rates_state& state);
--- a/src/core/rates/rates.cpp
+++ b/src/core/rates/rates.cpp
@@ -173,6 +173,8 @@
     state.weight_leases.first_round = state.weight_leases.last_round;
     state.hosts.last_id = random() >> 1;
     state.pools.last_request = random() >> 1;
+    // Above the ids of earlier processes at this host.
+    state.demand.last_report = to_microseconds(now.time_since_epoch());
 }
 
 void rates_tick(
--- a/src/core/rates/token_pools.cpp
+++ b/src/core/rates/token_pools.cpp
@@ -22,10 +22,14 @@
 // again at this interval.
 constexpr std::uint32_t max_unanswered = 2;
 constexpr duration trial_interval = 1s;
+// A host that has declined is asked again after this time.
+constexpr duration declined_interval = 250ms;
 // A host holds a pool for this time after the last request of another host.
 constexpr duration pool_holding_time = 1s;
 constexpr duration min_retry_delay = 10ms;
 constexpr duration max_retry_delay = 1s;
+// A pool without a rate waits for confirmations of other holders.
+constexpr duration no_rate_retry_delay = 200ms;
 // A larger message would not fit into a datagram.
 constexpr std::size_t max_items = 64;
 
@@ -56,6 +60,14 @@
            found->second.silent_since != time_point{};
 }
 
+bool is_declined(const rates_context& context, host_id host)
+{
+    const auto& contacts = context.state.pools.contacts;
+    const auto found = contacts.find(host);
+    return found != contacts.end() &&
+           context.now < found->second.declined_until;
+}
+
 // The host to request tokens of a shard from; none while all are silent and
 // none is due for a trial.
 host_id select_pool(rates_context& context, std::uint32_t shard)
@@ -63,6 +75,12 @@
     auto& pools = context.state.pools;
     for (const host_id host : pools.hosts.local[shard])
     {
+        const bool declines =
+            host == context.state.settings.self && is_starting(context);
+        if (declines || is_declined(context, host))
+        {
+            continue;
+        }
         if (!is_silent(pools, host))
         {
             return host;
@@ -172,7 +190,7 @@
 duration retry_delay(double missing, double rate)
 {
     return rate <= 0.0
-               ? max_retry_delay
+               ? no_rate_retry_delay
                : std::clamp(
                      from_seconds(missing / rate), duration(min_retry_delay),
                      duration(max_retry_delay));
@@ -180,10 +198,17 @@
 
 } // namespace
 
+bool is_starting(const rates_context& context)
+{
+    const time_point started_at = context.state.demand.started_at;
+    return started_at == time_point{} ||
+           context.now - started_at < startup_time;
+}
+
 bool holds_pool(const rates_context& context, std::uint32_t shard)
 {
     const auto& pools = context.state.pools;
-    return !context.state.leaving &&
+    return !context.state.leaving && !is_starting(context) &&
            (is_first_pool_host(
                 pools.hosts, context.state.settings.self, shard) ||
             context.now < pools.requested_until[shard]);
@@ -263,14 +288,14 @@
     rates_state& state = context.state;
     wire_rates::pool_reply_data reply;
     reply.request = in.request;
-    reply.declined = state.leaving;
+    reply.declined = state.leaving || is_starting(context);
     for (const auto& item : in.items)
     {
         const auto id = static_cast<workspace_id>(item.workspace());
         const auto found = state.workspaces.find(id);
         const double wanted = item.wanted();
         const double arrivals = item.arrivals();
-        if (state.leaving || found == state.workspaces.end() ||
+        if (reply.declined || found == state.workspaces.end() ||
             !std::isfinite(wanted) || !std::isfinite(arrivals) ||
             wanted < 0.0 || arrivals < 0.0)
         {
@@ -304,14 +329,10 @@
     rates_context& context, host_id from, const wire_rates::pool_reply_data& in)
 {
     auto& pools = context.state.pools;
+    pools.contacts.erase(from);
     if (in.declined)
     {
-        record_unanswered(context, from);
-        record_unanswered(context, from);
-    }
-    else
-    {
-        pools.contacts.erase(from);
+        pools.contacts[from].declined_until = context.now + declined_interval;
     }
     const auto found = pools.sent.find(in.request);
     if (found == pools.sent.end() || found->second.to != from)
--- a/src/core/rates/token_pools.hpp
+++ b/src/core/rates/token_pools.hpp
@@ -54,6 +54,8 @@
     std::uint32_t unanswered = 0;
     time_point silent_since{};
     time_point next_trial_at{};
+    // The host has declined to hold the pool until then.
+    time_point declined_until{};
 };
 
 struct token_pool_state
@@ -75,6 +77,9 @@
 // A request to a pool without an answer for this time is sent again.
 constexpr duration pool_request_timeout = 80ms;
 
+// Whether this host has just started and may not know all others.
+[[nodiscard]] bool is_starting(const rates_context& context);
+
 // Whether this host holds the pool of a shard.
 [[nodiscard]] bool
 holds_pool(const rates_context& context, std::uint32_t shard);
--- a/tests/core/rate_bounds_test.cpp
+++ b/tests/core/rate_bounds_test.cpp
@@ -242,6 +242,43 @@
     }
 }
 
+// Guards against QUOTA when two data centres cannot reach each other, but a
+// third reaches both and counts for both of them.
+TEST(rate_bounds, data_centres_that_reach_others_but_not_each_other)
+{
+    for (const auto& size : fleet_cases)
+    {
+        SCOPED_TRACE(name_of(size));
+        bounded_fleet bounded(size);
+        std::vector<double> demand(size.hosts, 0.0);
+        for (std::size_t i = 0; i < size.hosts; ++i)
+        {
+            demand[i] = i % data_centres < 2 ? 15.0 * bounded.usual[i] : 0.0;
+        }
+        bounded.fleet.run_on(demand, 8s);
+        bounded.fleet.is_pair_cut = true;
+        const auto counts = bounded.fleet.run_on(demand, 10s);
+        EXPECT_LE(counts.max_in_window, bounded.allowed);
+    }
+}
+
+// Guards against QUOTA when hosts that are cut off start again: they know no
+// other host and use the whole rate.
+TEST(rate_bounds, cut_off_hosts_that_start_again_stay_within_the_bound)
+{
+    for (const auto& size : fleet_cases)
+    {
+        SCOPED_TRACE(name_of(size));
+        bounded_fleet bounded(size);
+        bounded.fleet.run_on(bounded.usual, 8s);
+        bounded.fleet.is_isolated[0] = true;
+        bounded.fleet.is_isolated[1] = true;
+        bounded.fleet.restart_all(800ms);
+        const auto counts = bounded.fleet.run_on(bounded.demand(6.0), 12s);
+        EXPECT_LE(counts.max_in_window, bounded.allowed);
+    }
+}
+
 // Guards against a bound that holds only because nothing is admitted.
 TEST(rate_bounds, callers_within_the_rate_are_admitted_in_calm)
 {
--- a/tests/support/sharing_fleet.hpp
+++ b/tests/support/sharing_fleet.hpp
@@ -208,7 +208,9 @@
     [[nodiscard]] bool is_reachable(std::size_t from, std::size_t to) const
     {
         return is_partitioned[from] == is_partitioned[to] && !is_down[to] &&
-               !is_isolated[from] && !is_isolated[to];
+               !is_isolated[from] && !is_isolated[to] &&
+               !(is_pair_cut &&
+                 from % data_centre_count + to % data_centre_count == 1);
     }
 
     // Hosts that `index` can reach, with itself.
@@ -344,6 +346,8 @@
     std::vector<bool> is_down;
     // Hosts that reach no other host.
     std::vector<bool> is_isolated;
+    // The first two data centres do not reach each other, but all others.
+    bool is_pair_cut = false;
     // When a host meets the others after restart_all.
     std::vector<time_point> met_at;
     // The part of all messages that are lost.
