Count the hosts that the platform lists while a process has met no other

A process that starts while it is cut off knew no other host, took itself for the whole fleet and used the whole rate after 2 s. The entries by which nodes find each other tell that there are others, so they count as known.

The test has the platform list three hosts of each data centre.

--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -147,6 +147,8 @@
     // Lists answered since the start. A number of them is required before this
     // node publishes its entry.
     std::uint32_t lists_done = 0;
+    // Entries of other hosts in the last list.
+    std::size_t others_listed = 0;
     std::uint32_t failures = 0;
     std::uint64_t entry_version = 0;
     // When the next seed address of the settings is contacted.
--- a/src/core/membership/seeds.cpp
+++ b/src/core/membership/seeds.cpp
@@ -170,10 +170,12 @@
     random_source& random, control_actions& actions)
 {
     ++state.seed.lists_done;
+    state.seed.others_listed = 0;
     for (const auto& entry : reply.entries)
     {
         if (const auto host = parse_host_id(entry.value); host.has_value())
         {
+            state.seed.others_listed += *host == state.settings.self ? 0 : 1;
             contact_if_unknown(state, *host, now, actions);
         }
     }
--- a/src/core/rates/reported_demand.cpp
+++ b/src/core/rates/reported_demand.cpp
@@ -123,7 +123,10 @@
     const auto& members = context.inputs.members.members;
     const data_centre_id own = context.state.settings.data_centre;
     reported_demand collected;
-    collected.known_hosts = hosts.known;
+    // A host that has not met the others yet, or not for long, knows from the
+    // platform that there are some.
+    collected.known_hosts =
+        std::max(hosts.known, 1 + context.inputs.members.seed.others_listed);
     collected.is_announced = is_announced(context, shard);
     collected.own = present_demand(context, shard);
     std::set<data_centre_id> heard{own};
--- a/src/core/rates/reported_demand.hpp
+++ b/src/core/rates/reported_demand.hpp
@@ -39,7 +39,8 @@
     // Alive hosts of the data centres, each by the part of its pool hosts that
     // have confirmed a report within the confirmation_term. With this host.
     std::size_t confirming_hosts = 1;
-    // All hosts that this host or another pool host knows.
+    // All hosts that this host or another pool host knows, or that the platform
+    // lists.
     std::size_t known_hosts = 1;
     // When the last report that was confirmed by any host was sent.
     time_point confirmed_at{};
--- a/tests/core/rate_bounds_test.cpp
+++ b/tests/core/rate_bounds_test.cpp
@@ -273,6 +273,9 @@
         bounded.fleet.run_on(bounded.usual, 8s);
         bounded.fleet.is_isolated[0] = true;
         bounded.fleet.is_isolated[1] = true;
+        // Three hosts of each data centre have entries in the platform.
+        bounded.fleet.others_listed =
+            std::min(3 * data_centres, size.hosts) - 1;
         bounded.fleet.restart_all(800ms);
         const auto counts = bounded.fleet.run_on(bounded.demand(6.0), 12s);
         EXPECT_LE(counts.max_in_window, bounded.allowed);
--- a/tests/support/sharing_fleet.hpp
+++ b/tests/support/sharing_fleet.hpp
@@ -197,6 +197,7 @@
             next->id = hosts[i]->id;
             next->limiter.longest_wait = hosts[i]->limiter.longest_wait;
             next->limiter.has_loans = hosts[i]->limiter.has_loans;
+            next->members.seed.others_listed = others_listed;
             control_actions actions;
             rates_start(next->rates, settings, now, random, actions);
             hosts[i] = std::move(next);
@@ -348,6 +349,8 @@
     std::vector<bool> is_isolated;
     // The first two data centres do not reach each other, but all others.
     bool is_pair_cut = false;
+    // Entries of other hosts that the platform lists to one that starts.
+    std::size_t others_listed = 0;
     // When a host meets the others after restart_all.
     std::vector<time_point> met_at;
     // The part of all messages that are lost.
