Count requests that were left, or got a server error, as suspects of a crash

With one upstream left the queue grew, and the upstream answered the request with 504 when its time was over. The gate counted that as a success: it cleared the suspect on all nodes, and for 10 s its node cleared it again with each later report.

A server error now is no success, and the requests that had reached the upstream and were left within the last second before a crash are reported with those that broke.

--- a/src/adapters/crash_detector.cpp
+++ b/src/adapters/crash_detector.cpp
@@ -12,6 +12,18 @@
 
 namespace asio = boost::asio;
 
+// Called with the detector's mutex held.
+void add_recent(crash_detector& detector, std::uint64_t digest, time_point now)
+{
+    std::erase_if(
+        detector.recent,
+        [now](const ended_request& request)
+        {
+            return now - request.at > crash_window;
+        });
+    detector.recent.push_back({digest, now});
+}
+
 // Returns each digest recorded within crash_window once, and clears the
 // records.
 std::vector<std::uint64_t>
@@ -72,6 +84,13 @@
 
 } // namespace
 
+void record_left_request(
+    crash_detector& detector, std::uint64_t digest, time_point now)
+{
+    const std::scoped_lock lock(detector.mutex);
+    add_recent(detector, digest, now);
+}
+
 void record_broken_request(
     crash_detector& detector, const asio::any_io_executor& executor,
     const asio::ip::tcp::endpoint& upstream,
@@ -80,15 +99,9 @@
 {
     {
         const std::scoped_lock lock(detector.mutex);
-        std::erase_if(
-            detector.recent,
-            [now](const broken_request& request)
-            {
-                return now - request.at > crash_window;
-            });
         if (digest)
         {
-            detector.recent.push_back({*digest, now});
+            add_recent(detector, *digest, now);
         }
         if (detector.probing)
         {
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -56,25 +56,34 @@
 }
 
 // Checks after a failure whether the upstream has crashed. Records a success,
-// and reports that of a suspect.
+// and reports that of a suspect. A server error is no success: the upstream may
+// have ended a request that crashes it when its time was over.
 void record_request_end(
     local_gate& gate, const exchange& work,
     const asio::ip::tcp::endpoint& endpoint,
-    const upstream_connection_ptr& connection, gate_result result, bool broke)
+    const upstream_connection_ptr& connection, const upstream_result& ended)
 {
     const std::uint64_t digest = work.context.digest;
-    if (result == gate_result::failed)
+    if (ended.result == gate_result::failed)
     {
         record_broken_request(
             gate.crashes, connection->stream.get_executor(), endpoint,
-            broke ? std::optional(digest) : std::nullopt, now(),
+            ended.broke ? std::optional(digest) : std::nullopt, now(),
             [&gate](const std::vector<std::uint64_t>& digests)
             {
                 report_crash(gate, digests);
             });
         return;
     }
-    if (result != gate_result::replied)
+    if (ended.result != gate_result::replied)
+    {
+        if (ended.result != gate_result::shed && !work.unsent)
+        {
+            record_left_request(gate.crashes, digest, now());
+        }
+        return;
+    }
+    if (ended.is_error)
     {
         return;
     }
@@ -169,11 +178,11 @@
         return record->allowance.close();
     };
     const auto endpoint = call.endpoint;
-    const auto [result, broke, reusable] =
-        is_right_service ? co_await call_upstream(std::move(call))
-                         : refuse_started(call);
+    const upstream_result ended = is_right_service
+                                      ? co_await call_upstream(std::move(call))
+                                      : refuse_started(call);
     end_running(gate->handles, request);
-    if (reusable)
+    if (ended.reusable)
     {
         return_connection(gate->pool, connection);
     }
@@ -181,11 +190,11 @@
     {
         const std::scoped_lock lock(gate->mutex);
         decisions = gate_finish(
-            gate->gate, entry_id, result, now(),
+            gate->gate, entry_id, ended.result, now(),
             request->record->child_wait.total(now()));
     }
     --gate->running;
-    record_request_end(*gate, *work, endpoint, connection, result, broke);
+    record_request_end(*gate, *work, endpoint, connection, ended);
     apply_decisions(*gate, decisions);
 }
 
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint32_t max_reply_header_bytes = 64 * 1024;
 constexpr unsigned http_version_1_1 = 11;
+constexpr unsigned first_server_error = 500;
 
 // Replies are read in pieces of 16 KiB, which limits the memory that a slow
 // caller occupies.
@@ -375,7 +376,8 @@
         shed ? gate_result::shed : gate_result::replied, false,
         parser->keep_alive() && !bodyless &&
             !call.connection->had_stray_reply &&
-            call.connection->buffer.size() == 0};
+            call.connection->buffer.size() == 0,
+        status >= first_server_error};
 }
 
 } // namespace
--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -55,6 +55,8 @@
     bool broke = false;
     // The connection can carry another request.
     bool reusable = false;
+    // The reply was a server error.
+    bool is_error = false;
 };
 
 // Runs on the connection's executor. Always ends the exchange.
--- a/tests/adapters/local_gate_test.cpp
+++ b/tests/adapters/local_gate_test.cpp
@@ -22,7 +22,8 @@
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 // A gate and its upstream, which answers each request with its target, except
-// for `/hang`, which gets no answer, and `/crash`, which ends it.
+// for `/hang`, which gets no answer, `/overdue`, which gets a 504, and
+// `/crash`, which ends it.
 struct gate_and_upstream
 {
     gate_and_upstream()
@@ -79,6 +80,10 @@
                 co_return;
             }
             http::response<http::string_body> reply;
+            if (request.target() == "/overdue")
+            {
+                reply.result(http::status::gateway_timeout);
+            }
             reply.body() = request.target();
             reply.prepare_payload();
             co_await http::async_write(*socket, reply, as_result);
@@ -251,5 +256,85 @@
     EXPECT_EQ(*suspects, (std::vector<std::uint64_t>{8, 9}));
 }
 
+// An upstream answered a request that crashes upstreams with 504, as its time
+// was over. That counted as a success: all nodes dropped the crashes counted so
+// far, and it was no suspect there for 10 s (BUDGET).
+TEST(local_gate, a_server_error_clears_no_suspect)
+{
+    gate_and_upstream node;
+    node.announce("orders", 4);
+    auto view = std::make_unique<quarantine_view>();
+    view->suspects = {7, 8};
+    node.services.path.quarantine.publish(std::move(view));
+    std::vector<std::uint64_t> cleared;
+    node.gate.on_suspect_success = [&](std::uint64_t digest)
+    {
+        cleared.push_back(digest);
+    };
+    const auto status_of = [&](const std::string& target, std::uint64_t digest)
+    {
+        const auto work = node.make_work(target, service_id_of("orders"));
+        work->context.digest = digest;
+        run_at_gate(node.gate, work);
+        const auto reply = node.wait_for_reply(*work);
+        while (count_requests(node.gate) > 0)
+        {
+            node.io.run_one_for(10ms);
+        }
+        return reply.head ? reply.head->status : 0;
+    };
+    EXPECT_EQ(status_of("/overdue", 7), 504);
+    EXPECT_EQ(status_of("/order", 8), 200);
+    EXPECT_EQ(cleared, std::vector<std::uint64_t>{8});
+    EXPECT_FALSE(has_succeeded(node.gate, 7));
+    EXPECT_TRUE(has_succeeded(node.gate, 8));
+}
+
+// A request that crashes upstreams was in no report when its time had ended, or
+// its caller had left, just before the crash. It was quarantined late or never,
+// and ended one upstream after the other (BUDGET).
+TEST(local_gate, requests_left_just_before_a_crash_are_suspects)
+{
+    gate_and_upstream node;
+    node.announce("orders", 8);
+    std::optional<std::vector<std::uint64_t>> suspects;
+    node.gate.on_crash = [&](const std::vector<std::uint64_t>& digests)
+    {
+        suspects = digests;
+    };
+    const auto make = [&](const std::string& target, std::uint64_t digest)
+    {
+        auto work = node.make_work(target, service_id_of("orders"));
+        work->context.digest = digest;
+        return work;
+    };
+    const auto timed_out = make("/hang", 7);
+    timed_out->context.deadline = now() + 300ms;
+    const auto left = make("/hang", 8);
+    run_at_gate(node.gate, timed_out);
+    run_at_gate(node.gate, left);
+    const time_point limit = now() + 10s;
+    while (node.received.size() < 2 && now() < limit)
+    {
+        node.io.run_one_for(10ms);
+    }
+    ASSERT_EQ(node.received.size(), 2U);
+    cancel(*left);
+    EXPECT_TRUE(node.wait_for_reply(*timed_out).failure);
+    const auto never_sent = make("/never-sent", 9);
+    cancel(*never_sent);
+    run_at_gate(node.gate, never_sent);
+    const auto crashing = make("/crash", 10);
+    run_at_gate(node.gate, crashing);
+    EXPECT_TRUE(node.wait_for_reply(*crashing).failure);
+    while (!suspects && now() < limit)
+    {
+        node.io.run_one_for(10ms);
+    }
+    ASSERT_TRUE(suspects);
+    std::ranges::sort(*suspects);
+    EXPECT_EQ(*suspects, (std::vector<std::uint64_t>{7, 8, 10}));
+}
+
 } // namespace
 } // namespace cyclamenhold
