--- a/src/core/rates/demand_reports.hpp
+++ b/src/core/rates/demand_reports.hpp
@@ -16,7 +16,7 @@
 // again.
 void report_demand(rates_context& context);
 
-// Drops what is known of hosts that hold no pool and send no messages.
+// Drops the state of hosts that hold no pool and send no messages.
 void drop_departed_peers(rates_context& context);
 
 } // namespace cyclamenhold
--- a/src/core/rates/demand_shares.cpp
+++ b/src/core/rates/demand_shares.cpp
@@ -96,7 +96,8 @@
     }
 }
 
-// Begins to hold the pools of these shards, and lets the other holders know.
+// Begins to hold the pools of these shards, and reports that to the other
+// holders at the next tick.
 void begin_to_hold(rates_context& context, std::uint32_t shards)
 {
     demand_share_state& demand = context.state.demand;
--- a/src/core/rates/demand_shares.hpp
+++ b/src/core/rates/demand_shares.hpp
@@ -2,14 +2,14 @@
 // report the demand there to each other, and each uses the part of the rate
 // that its demand is of all demand.
 //
-// The shares of holders that hear from each other add up to at most one,
-// whatever messages are lost: a holder divides by the newest demands that it
-// has received, and counts its own demand only as far as every other holder has
-// confirmed it. Example: A reports 30 after 10 and has no answer yet, so that B
-// counts one of them. A divides 10 by the sum; if B counts 30, the shares add
-// up to less than one. A share ends before others stop counting it. After that,
-// each side of a network partition uses the part of the rate that its hosts are
-// of all hosts.
+// The shares of holders that receive each other's reports add up to at most
+// one, whatever messages are lost: a holder divides by the newest demands that
+// it has received, and counts its own demand only as far as every other holder
+// has confirmed it. Example: A reports 30 after 10 and has no answer yet, so
+// that B counts one of them. A divides 10 by the sum; if B counts 30, the
+// shares add up to less than one. A share ends before others stop counting it.
+// After that, each side of a network partition uses the part of the rate that
+// its hosts are of all hosts.
 #pragma once
 
 #include "core/base/ids.hpp"
@@ -43,7 +43,7 @@
     demand_by_shard per_second;
 };
 
-// What this host and another pool host know of each other in one shard.
+// The reports between this host and another pool host in one shard.
 struct peer_shard
 {
     // The newest message, and when it arrived.
--- a/src/core/rates/token_pools.cpp
+++ b/src/core/rates/token_pools.cpp
@@ -22,7 +22,7 @@
 // again at this interval.
 constexpr std::uint32_t max_unanswered = 2;
 constexpr duration trial_interval = 1s;
-// A host that has declined is asked again after this time.
+// A host that has declined gets the next request after this time.
 constexpr duration declined_interval = 250ms;
 // A host holds a pool for this time after the last request of another host.
 constexpr duration pool_holding_time = 1s;
