--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -2,6 +2,10 @@
 
 #include "adapters/clock.hpp"
 
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
 #include <ctime>
 
 namespace cyclamenhold
@@ -282,6 +286,11 @@
                          : event_kind::upstream_announced;
     new_event.detail =
         record->service + ' ' + std::string(name_of(record->state));
+    if (record->state == upstream_state::warming && record->cold_rate > 0.0)
+    {
+        new_event.detail +=
+            absl::StrFormat(", %.1f requests a second", record->cold_rate);
+    }
     loop.services.record(new_event);
     run_control_event(
         loop,
@@ -292,23 +301,42 @@
         });
 }
 
-// Fills in the connection cap of an announcement that has none: that of the
-// configuration, or else the number of slots.
-upstream_announcement with_connection_cap(
+const service_settings*
+find_service(const control_loop& loop, const std::string& name)
+{
+    const auto& services = loop.state.chain.current->services;
+    const auto found =
+        std::ranges::find(services, name, &service_settings::name);
+    return found == services.end() ? nullptr : &*found;
+}
+
+// The rate of the service's cold upstreams; a low one while it is not known
+// yet.
+double configured_cold_rate(const control_loop& loop, const std::string& name)
+{
+    if (loop.has_cold_bounds && loop.state.chain.current->revision == 0)
+    {
+        return unknown_cold_rate;
+    }
+    const service_settings* const settings = find_service(loop, name);
+    return settings != nullptr ? settings->cold_rate : 0.0;
+}
+
+// Fills in what the announcement leaves to the configuration of its service:
+// the connection cap, which is the number of slots if neither has one, and the
+// rate while the upstream is cold.
+upstream_announcement with_service_settings(
     const control_loop& loop, upstream_announcement announcement)
 {
     auto& record = announcement.record;
-    if (record.connections != 0)
+    record.cold_rate = configured_cold_rate(loop, record.service);
+    if (record.connections == 0)
     {
-        return announcement;
-    }
-    record.connections = record.slots;
-    for (const auto& service : loop.state.chain.current->services)
-    {
-        if (service.name == record.service && service.connections != 0)
-        {
-            record.connections = service.connections;
-        }
+        const service_settings* const settings =
+            find_service(loop, record.service);
+        record.connections = settings != nullptr && settings->connections != 0
+                                 ? settings->connections
+                                 : record.slots;
     }
     return announcement;
 }
@@ -328,6 +356,10 @@
 {
     if (!loop.leaving)
     {
+        publish_upstream(
+            loop, on_cold_rate(
+                      loop.upstream, configured_cold_rate(
+                                         loop, loop.upstream.record.service)));
         publish_upstream(loop, check_upstream(loop.upstream, now()));
     }
     if (control_due(loop.state) <= now())
@@ -496,9 +528,10 @@
             if (!loop.leaving)
             {
                 publish_upstream(
-                    loop, on_announcement(
-                              loop.upstream,
-                              with_connection_cap(loop, announcement), now()));
+                    loop,
+                    on_announcement(
+                        loop.upstream,
+                        with_service_settings(loop, announcement), now()));
             }
         });
 }
@@ -526,6 +559,21 @@
         });
 }
 
+void post_upstream_cold(
+    control_loop& loop, std::uint64_t incarnation, duration remaining)
+{
+    asio::post(
+        loop.io,
+        [&loop, incarnation, remaining]
+        {
+            if (loop.upstream.incarnation == incarnation)
+            {
+                publish_upstream(
+                    loop, on_cold(loop.upstream, remaining, now()));
+            }
+        });
+}
+
 void post_upstream_crash(
     control_loop& loop, const std::vector<std::uint64_t>& digests)
 {
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -65,6 +65,8 @@
     // Retry tokens that the whole fleet may accumulate for a service; zero
     // means no bound.
     double fleet_retry_slack = 0.0;
+    // Whether the deployment limits the requests to cold upstreams.
+    bool has_cold_bounds = false;
     bool platform_reachable = true;
     bool leaving = false;
     // Requests waited for tokens after the last control event.
@@ -99,6 +101,10 @@
 void post_upstream_drain(control_loop& loop);
 // Reports that a reply of this incarnation of the upstream said that it leaves.
 void post_upstream_leaving(control_loop& loop, std::uint64_t incarnation);
+// Reports that a reply of this incarnation of the upstream said that it stays
+// cold for this time.
+void post_upstream_cold(
+    control_loop& loop, std::uint64_t incarnation, duration remaining);
 void post_upstream_leave(
     control_loop& loop, const upstream_departure& departure);
 // Reports that the local upstream crashed while requests with these digests
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -108,6 +108,7 @@
         return;
     }
     bool is_first_leave = false;
+    bool becomes_cold = false;
     gate_decisions decisions;
     {
         const std::scoped_lock lock(gate.mutex);
@@ -117,6 +118,8 @@
                 std::exchange(gate.leaving_incarnation, *incarnation) !=
                 *incarnation;
         }
+        becomes_cold = notice.cold > duration::zero() &&
+                       gate.gate.upstream.state == upstream_state::serving;
         if (notice.rate != gate.gate.cap.rate)
         {
             decisions = gate_set_rate(gate.gate, notice.rate, now());
@@ -126,6 +129,10 @@
     {
         gate.on_leaving(*incarnation);
     }
+    if (becomes_cold)
+    {
+        gate.on_cold(*incarnation, notice.cold);
+    }
     apply_decisions(gate, decisions);
 }
 
@@ -215,12 +222,14 @@
 void refuse(local_gate& gate, const exchange_ptr& work, refusal reason)
 {
     const load_report load = report_of(gate);
+    const auto cold = cold_rate_of(gate);
     record(
         gate, event_kind::gate_refused, *work,
         absl::StrFormat(
-            "%s; %d running of %d, %d queued, %d ms left", name_of(reason),
+            "%s; %d running of %d, %d queued, %d ms left%s", name_of(reason),
             load.in_flight, load.limit, load.queued,
-            to_milliseconds(work->context.deadline - now())));
+            to_milliseconds(work->context.deadline - now()),
+            cold ? absl::StrFormat(", cold: %.1f a second", *cold) : ""));
     fail(*work, {reason, outcome::not_run}, load);
 }
 
@@ -354,6 +363,7 @@
         if (is_new_process)
         {
             cap_set(gate.gate.cap, std::nullopt, now());
+            cap_set(gate.gate.cold, std::nullopt, now());
         }
         decisions = gate_set_upstream(gate.gate, record, now());
     }
@@ -376,6 +386,12 @@
     return gate_report(gate.gate, now());
 }
 
+std::optional<double> cold_rate_of(local_gate& gate)
+{
+    const std::scoped_lock lock(gate.mutex);
+    return gate.gate.cold.rate;
+}
+
 bool has_waiting_requests(local_gate& gate)
 {
     const std::scoped_lock lock(gate.mutex);
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -49,6 +50,9 @@
     // Reports to the control thread that a reply of this incarnation of the
     // upstream said that it leaves.
     std::function<void(std::uint64_t)> on_leaving;
+    // Reports to the control thread that a reply of this incarnation of the
+    // upstream said that it stays cold for this time.
+    std::function<void(std::uint64_t, duration)> on_cold;
     // Has the control thread check whether a claim is still valid, and calls
     // back with the result.
     std::function<void(const claim_grant&, std::function<void(bool)>)>
@@ -72,6 +76,10 @@
 
 [[nodiscard]] load_report report_of(local_gate& gate);
 
+// The requests a second that the upstream takes while it is cold; nothing if it
+// is not cold or not limited.
+[[nodiscard]] std::optional<double> cold_rate_of(local_gate& gate);
+
 [[nodiscard]] bool has_waiting_requests(local_gate& gate);
 
 // The number of requests that are queued or running.
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -54,7 +54,9 @@
      {"cyclamen_upstreams_usable", "Upstreams that may be tried"},
      {"cyclamen_configuration_revision", "Configuration revision in force"},
      {"cyclamen_platform_reachable", "1 while the platform answers"},
-     {"cyclamen_resident_bytes", "Resident memory of the process"}}};
+     {"cyclamen_resident_bytes", "Resident memory of the process"},
+     {"cyclamen_upstream_cold_rate",
+      "Requests a second that the cold upstream takes; 0 if not cold"}}};
 
 constexpr std::array<metric_description, histogram_count> histogram_table{
     {{"cyclamen_request_seconds", "From a request's header to its last byte"},
--- a/src/adapters/metrics.hpp
+++ b/src/adapters/metrics.hpp
@@ -62,10 +62,11 @@
     upstreams_usable,
     configuration_revision,
     platform_reachable,
-    resident_bytes
+    resident_bytes,
+    upstream_cold_rate
 };
 
-constexpr std::size_t gauge_count = 12;
+constexpr std::size_t gauge_count = 13;
 
 // Histograms of durations.
 enum class histogram_id : std::uint8_t
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_format.h>
 #include <boost/json.hpp>
 
+#include <cmath>
 #include <future>
 
 namespace cyclamenhold
@@ -319,6 +320,10 @@
     {
         post_upstream_leaving(node.control, incarnation);
     };
+    node.gate.on_cold = [&node](std::uint64_t incarnation, duration remaining)
+    {
+        post_upstream_cold(node.control, incarnation, remaining);
+    };
     node.upstream_side.announce =
         [&node](const upstream_announcement& announcement)
     {
@@ -361,6 +366,8 @@
     set(node.node_metrics, gauge_id::gate_queue, load.queued);
     set(node.node_metrics, gauge_id::gate_limit, load.limit);
     set(node.node_metrics, gauge_id::gate_in_flight, load.in_flight);
+    set(node.node_metrics, gauge_id::upstream_cold_rate,
+        std::lround(cold_rate_of(node.gate).value_or(0.0)));
     set(node.node_metrics, gauge_id::configuration_revision,
         static_cast<std::int64_t>(node.control.state.chain.current->revision));
     set(node.node_metrics, gauge_id::platform_reachable,
@@ -573,8 +580,11 @@
     node->gate.gate.settings = {
         settings.upstream.has_exact_slots != 0,
         settings.upstream.reserved_for_calls / 100.0,
-        settings.upstream.has_exact_slots != 0};
+        settings.upstream.has_exact_slots != 0,
+        {settings.upstream.cold_overage, settings.upstream.cold_slack}};
     node->control.fleet_retry_slack = settings.retries.fleet_slack;
+    node->control.has_cold_bounds = settings.upstream.cold_overage > 1.0 ||
+                                    settings.upstream.cold_slack > 0.0;
     node->services.path.limiter.longest_wait = settings.rates.longest_wait;
     node->services.path.limiter.has_loans =
         settings.rates.sharing == rate_sharing::by_pledge;
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -91,6 +91,9 @@
     // Percentage of the concurrency limit that callers' requests leave to
     // child calls.
     std::uint32_t reserved_for_calls = 0;
+    // By how much the rate of a cold upstream may be exceeded in one second.
+    double cold_overage = 1.0;
+    double cold_slack = 0.0;
 };
 
 struct retry_settings
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -166,6 +166,15 @@
         CYCLAMEN_MEMBER(upstream.reserved_for_calls), optional, 0, 90, "%",
         "Part of the concurrency limit that callers' requests leave to "
         "child calls."},
+    setting_entry{
+        "/upstream/cold_overage", CYCLAMEN_MEMBER(upstream.cold_overage),
+        optional, 1, 1'000, "",
+        "The factor by which the requests to a cold upstream may exceed, in "
+        "one second, the rate that the configuration names for its service."},
+    setting_entry{
+        "/upstream/cold_slack", CYCLAMEN_MEMBER(upstream.cold_slack), optional,
+        0, 1'000'000, "requests",
+        "As `cold_overage`, but a number of requests in addition."},
     setting_entry{
         "/retries/fleet_slack", CYCLAMEN_MEMBER(retries.fleet_slack), optional,
         0, 1'000'000, "requests",
--- a/src/adapters/upstream_client.hpp
+++ b/src/adapters/upstream_client.hpp
@@ -24,6 +24,8 @@
     std::optional<double> rate;
     // Its process accepts requests for a short time only.
     bool is_leaving = false;
+    // For how long it stays cold; zero if it doesn't say so.
+    std::chrono::milliseconds cold{};
 };
 
 struct upstream_call
--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -1,5 +1,7 @@
 #include "adapters/upstream_monitor.hpp"
 
+#include <utility>
+
 namespace cyclamenhold
 {
 namespace
@@ -58,6 +60,7 @@
     monitor.started_ms = announcement.started_ms;
     monitor.has_left = false;
     ++monitor.incarnation;
+    monitor.cold_known_from = {};
     monitor.warm_until = now + announcement.warm_up;
     monitor.record.state = draining ? upstream_state::draining
                            : announcement.warm_up > duration::zero()
@@ -65,6 +68,32 @@
                                : upstream_state::serving;
 }
 
+// An announcement that was sent before the upstream became cold may arrive
+// after that.
+constexpr duration announcement_delay = 500ms;
+
+// Applies what an announcement of the known process says about its warm-up.
+bool update_warm_up(upstream_monitor& monitor, duration warm_up, time_point now)
+{
+    const bool is_in_doubt = now < monitor.cold_known_from;
+    if (warm_up == duration::zero() && is_in_doubt)
+    {
+        return false;
+    }
+    monitor.cold_known_from = {};
+    monitor.warm_until = now + warm_up;
+    const upstream_state state = warm_up > duration::zero()
+                                     ? upstream_state::warming
+                                     : upstream_state::serving;
+    return std::exchange(monitor.record.state, state) != state;
+}
+
+bool is_accepting(const upstream_monitor& monitor)
+{
+    return monitor.record.state == upstream_state::warming ||
+           monitor.record.state == upstream_state::serving;
+}
+
 } // namespace
 
 asio::ip::tcp::endpoint endpoint_of(const ip_endpoint& endpoint)
@@ -91,18 +120,57 @@
     {
         return on_drain(monitor);
     }
-    const bool resized =
-        monitor.record.slots != announcement.record.slots ||
-        monitor.record.connections != announcement.record.connections;
-    if (!resized)
+    const upstream_record& announced = announcement.record;
+    const bool is_rewarmed = is_accepting(monitor) &&
+                             update_warm_up(monitor, announcement.warm_up, now);
+    const bool is_resized =
+        monitor.record.slots != announced.slots ||
+        monitor.record.connections != announced.connections ||
+        monitor.record.cold_rate != announced.cold_rate;
+    if (!is_resized && !is_rewarmed)
     {
         return std::nullopt;
     }
-    monitor.record.slots = announcement.record.slots;
-    monitor.record.connections = announcement.record.connections;
+    monitor.record.slots = announced.slots;
+    monitor.record.connections = announced.connections;
+    monitor.record.cold_rate = announced.cold_rate;
     return monitor.record;
 }
 
+std::optional<upstream_record>
+on_cold_rate(upstream_monitor& monitor, double rate)
+{
+    if (!is_announced(monitor) || monitor.record.cold_rate == rate)
+    {
+        return std::nullopt;
+    }
+    monitor.record.cold_rate = rate;
+    return monitor.record;
+}
+
+std::optional<upstream_record>
+on_cold(upstream_monitor& monitor, duration remaining, time_point now)
+{
+    if (!is_accepting(monitor) || remaining <= duration::zero())
+    {
+        return std::nullopt;
+    }
+    const bool is_new = update_warm_up(monitor, remaining, now);
+    return is_new ? std::optional(monitor.record) : std::nullopt;
+}
+
+std::optional<upstream_record>
+suspect_cold(upstream_monitor& monitor, time_point now)
+{
+    if (!is_accepting(monitor))
+    {
+        return std::nullopt;
+    }
+    monitor.cold_known_from = now + announcement_delay;
+    monitor.warm_until = now + announcement_timeout;
+    return change_state(monitor, upstream_state::warming);
+}
+
 std::optional<upstream_record> on_drain(upstream_monitor& monitor)
 {
     if (!is_announced(monitor))
--- a/src/adapters/upstream_monitor.hpp
+++ b/src/adapters/upstream_monitor.hpp
@@ -30,6 +30,10 @@
     std::uint64_t incarnation = 0;
     time_point announced_at{};
     time_point warm_until{};
+    // The upstream may have become cold since its last announcement; one that
+    // arrives from this time on shows whether it has. Zero if there is no
+    // doubt.
+    time_point cold_known_from{};
 };
 
 [[nodiscard]] asio::ip::tcp::endpoint endpoint_of(const ip_endpoint& endpoint);
@@ -38,6 +42,16 @@
 [[nodiscard]] std::optional<upstream_record> on_announcement(
     upstream_monitor& monitor, const upstream_announcement& announcement,
     time_point now);
+// The configuration names this rate for the service's cold upstreams.
+[[nodiscard]] std::optional<upstream_record>
+on_cold_rate(upstream_monitor& monitor, double rate);
+// A reply of the upstream said that it stays cold for this time.
+[[nodiscard]] std::optional<upstream_record>
+on_cold(upstream_monitor& monitor, duration remaining, time_point now);
+// The upstream may have become cold without an announcement. It is considered
+// cold until one says that it isn't.
+[[nodiscard]] std::optional<upstream_record>
+suspect_cold(upstream_monitor& monitor, time_point now);
 [[nodiscard]] std::optional<upstream_record>
 on_drain(upstream_monitor& monitor);
 [[nodiscard]] std::optional<upstream_record>
--- a/src/adapters/upstream_reply_head.cpp
+++ b/src/adapters/upstream_reply_head.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_fields.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 
@@ -23,6 +24,19 @@
                : std::numeric_limits<double>::quiet_NaN();
 }
 
+// The warm-up time in a reply, an hour at most; zero if the text is no whole
+// number.
+std::chrono::milliseconds parse_cold(std::string_view text)
+{
+    constexpr std::int64_t longest_ms = 3'600'000;
+    std::int64_t value = 0;
+    const char* const text_end = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), text_end, value);
+    const bool is_valid = error == std::errc() && end == text_end && value > 0;
+    return std::chrono::milliseconds(
+        is_valid ? std::min(value, longest_ms) : 0);
+}
+
 } // namespace
 
 reply_event
@@ -66,6 +80,7 @@
         notice.rate = parse_rate(text);
     }
     notice.is_leaving = field_value(fields, call.names->leaving) == "1";
+    notice.cold = parse_cold(field_value(fields, call.names->cold));
     return notice;
 }
 
--- a/src/core/configuration/model.hpp
+++ b/src/core/configuration/model.hpp
@@ -99,6 +99,9 @@
     std::uint32_t connections = 0;
     // The path of the upstreams' health check; empty if there is none.
     std::string health_path;
+    // Requests a second that an upstream takes while it is cold; zero if they
+    // are not limited.
+    double cold_rate = 0.0;
     bool operator==(const service_settings&) const = default;
 };
 
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -35,11 +35,14 @@
 // single requests may take longer than the mean.
 std::uint32_t sustained_limit(const gate_state& gate, time_point now)
 {
-    const std::uint32_t limit = current_limit(gate.limit, now);
-    const auto capped = capped_concurrency(gate.cap, gate.limit.mean_latency);
-    return capped && *capped < limit
-               ? static_cast<std::uint32_t>(std::lround(*capped))
-               : limit;
+    double limit = current_limit(gate.limit, now);
+    for (const rate_cap* cap : {&gate.cap, &gate.cold})
+    {
+        limit = std::min(
+            limit,
+            capped_concurrency(*cap, gate.limit.mean_latency).value_or(limit));
+    }
+    return static_cast<std::uint32_t>(std::lround(limit));
 }
 
 std::size_t queue_bound(const gate_state& gate, time_point now)
@@ -56,7 +59,7 @@
 bool may_start(const gate_state& gate, time_point now)
 {
     return gate.running.size() < current_limit(gate.limit, now) &&
-           cap_allows(gate.cap, now);
+           cap_allows(gate.cap, now) && cap_allows(gate.cold, now);
 }
 
 // Root requests leave a part of the limit to child calls.
@@ -90,6 +93,7 @@
                               request.suspect, request.context.depth == 0});
     gate.running_roots += request.context.depth == 0 ? 1 : 0;
     cap_record_start(gate.cap, now);
+    cap_record_start(gate.cold, now);
     gate.suspect_running = gate.suspect_running || request.suspect;
     admission_record_start(
         gate.admission, request.context.priority, now - request.arrived);
@@ -230,6 +234,7 @@
     limit_announce(
         gate.limit, record.slots, record.connections,
         record.state == upstream_state::warming, now);
+    apply_cold_bound(gate.cold, record, gate.settings.cold, now);
     if (!is_accepting(gate))
     {
         refuse_waiting(gate, decisions, refusal::draining);
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -7,6 +7,7 @@
 #include "core/base/request_context.hpp"
 #include "core/base/time.hpp"
 #include "core/gate/admission.hpp"
+#include "core/gate/cold_bound.hpp"
 #include "core/gate/concurrency_limit.hpp"
 #include "core/gate/fair_queue.hpp"
 #include "core/gate/rate_cap.hpp"
@@ -64,6 +65,7 @@
     // their deadline, so that their callers receive the not-run outcome while
     // they still wait.
     bool refuses_before_deadline = false;
+    cold_tolerance cold;
 };
 
 struct gate_state
@@ -73,7 +75,10 @@
     // The service of the upstream.
     service_id service = service_id::none;
     concurrency_limit limit;
+    // The rate that the upstream names in its replies.
     rate_cap cap;
+    // Its rate while it is cold.
+    rate_cap cold;
     std::unordered_map<gate_entry_id, gate_running> running;
     fair_queue queue;
     // Suspects wait here and run one at a time, so that a crash during a
--- a/src/core/gate/rate_cap.cpp
+++ b/src/core/gate/rate_cap.cpp
@@ -22,7 +22,9 @@
 double tokens_at(const rate_cap& cap, time_point now)
 {
     const double rate = effective_rate(cap);
-    const double depth = std::max(1.0, rate * to_seconds(burst_time));
+    const double depth = cap.burst > 0.0
+                             ? cap.burst
+                             : std::max(1.0, rate * to_seconds(burst_time));
     const duration elapsed = std::max(now - cap.refilled_at, duration::zero());
     return std::min(depth, cap.tokens + rate * to_seconds(elapsed));
 }
--- a/src/core/gate/rate_cap.hpp
+++ b/src/core/gate/rate_cap.hpp
@@ -1,6 +1,7 @@
-// The rate of requests that an upstream names in its replies while it cannot
-// take more. The gate starts no more requests than that, so that the rate holds
-// for the whole fleet: all requests for an upstream pass its gate.
+// A rate of requests that an upstream takes: the one that it names in its
+// replies while it cannot take more, or the one of a cold upstream
+// (cold_bound.hpp). The gate starts no more requests than that, so that the
+// rate holds for the whole fleet: all requests for an upstream pass its gate.
 #pragma once
 
 #include "core/base/time.hpp"
@@ -14,6 +15,8 @@
 {
     // Requests per second; absent while the upstream names none.
     std::optional<double> rate;
+    // Requests that may start at once; zero for a quarter of a second's.
+    double burst = 0.0;
     // Requests that may start now, as of `refilled_at`.
     double tokens = 0.0;
     time_point refilled_at{};
--- a/src/core/membership/membership_wire.cpp
+++ b/src/core/membership/membership_wire.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/membership_wire.hpp"
 
+#include <cmath>
+
 namespace cyclamenhold
 {
 namespace
@@ -43,7 +45,8 @@
     return wire_format::Createmember_record(
         builder, &status, service,
         static_cast<std::uint8_t>(update.upstream.state), update.upstream.slots,
-        update.upstream.connections, update.upstream.version);
+        update.upstream.connections, update.upstream.version,
+        static_cast<float>(update.upstream.cold_rate));
 }
 
 flatbuffers::Offset<void> write_body(
@@ -102,6 +105,7 @@
         is_valid_status(*record.status()) &&
         record.upstream_state() <=
             static_cast<std::uint8_t>(upstream_state::draining) &&
+        std::isfinite(record.cold_rate()) && record.cold_rate() >= 0.0F &&
         (record.service() == nullptr ||
          record.service()->size() <= max_service_name_size);
     if (!is_valid)
@@ -118,6 +122,7 @@
     update.upstream.slots = record.slots();
     update.upstream.connections = record.connections();
     update.upstream.version = record.upstream_version();
+    update.upstream.cold_rate = record.cold_rate();
     message.updates.push_back(std::move(update));
     return true;
 }
--- a/src/core/routing/routing.cpp
+++ b/src/core/routing/routing.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include <boost/container/small_vector.hpp>
 
@@ -77,9 +78,27 @@
     return std::ranges::find(tried, candidate.location.host) != tried.end();
 }
 
+// The concurrency that the rate of a cold upstream sustains; nothing if it has
+// none or its latency is unknown.
+std::optional<double> cold_limit(const routing_candidate& candidate)
+{
+    const upstream_record& record = candidate.location.record;
+    const duration latency = estimated_latency(*candidate.stats);
+    if (record.state != upstream_state::warming || record.cold_rate <= 0.0)
+    {
+        return std::nullopt;
+    }
+    return latency > duration::zero() ? record.cold_rate * to_seconds(latency)
+                                      : 1.0;
+}
+
 double limit_of(const routing_candidate& candidate)
 {
     const upstream_record& record = candidate.location.record;
+    if (const auto limit = cold_limit(candidate))
+    {
+        return std::max(1.0, *limit);
+    }
     double limit =
         candidate.stats->reported_limit.load(std::memory_order_relaxed);
     if (limit <= 0.0)
--- a/src/core/routing/upstream.hpp
+++ b/src/core/routing/upstream.hpp
@@ -47,6 +47,9 @@
     std::uint32_t connections = 0;
     // Incremented by the host's node with each change, within its incarnation.
     std::uint64_t version = 0;
+    // Requests a second that the upstream takes while it warms up; zero if they
+    // are not limited.
+    double cold_rate = 0.0;
     bool operator==(const upstream_record&) const = default;
 };
 
--- a/src/ports/protocol_profile.hpp
+++ b/src/ports/protocol_profile.hpp
@@ -51,6 +51,8 @@
     std::string rate_limit = "Cyclamen-Rate-Limit";
     // From the upstream: "1" if its process leaves.
     std::string leaving = "Cyclamen-Leaving";
+    // From the upstream: for how many milliseconds it remains cold.
+    std::string cold = "Cyclamen-Cold-Ms";
     // Whether Retry-After may have fractions of a second.
     bool fractional_retry_after = false;
     // Whether the caller's Host field is forwarded to the upstream.
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -170,9 +170,18 @@
     }
 }
 
+TEST(settings_template, cold_upstreams_have_the_tolerance_of_the_deployment)
+{
+    const auto settings = settings_for({{"coldOver", 1.5}, {"coldSlack", 8}});
+    EXPECT_EQ(settings.upstream.cold_overage, 1.5);
+    EXPECT_EQ(settings.upstream.cold_slack, 8.0);
+}
+
 TEST(settings_template, bounds_that_are_not_given)
 {
     const auto settings = settings_for({});
+    EXPECT_EQ(settings.upstream.cold_overage, 1.0);
+    EXPECT_EQ(settings.upstream.cold_slack, 0.0);
     EXPECT_GT(stop_timeout_of(settings).count(), 0);
     EXPECT_GT(max_key_staleness_of(settings).count(), 0);
 }
