--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -24,21 +24,63 @@
            static_cast<std::uint64_t>(time.tv_nsec) / 1'000;
 }
 
+placement_view placement_of(const control_state& state)
+{
+    placement_view view{state.evacuated, {}};
+    for (const auto& entry : state.chain.current->data_centres)
+    {
+        view.regions.emplace(
+            data_centre_id_of(entry.name), region_id_of(entry.region));
+    }
+    return view;
+}
+
+void publish_upstream(
+    control_loop& loop, const std::optional<upstream_record>& record);
+
+// Applies the start or the end of this data centre's evacuation at the gate. An
+// upstream that had no requests for some time may be cold.
+void publish_evacuation(control_loop& loop)
+{
+    const data_centre_id here = loop.state.membership.settings.data_centre;
+    const bool was_evacuated =
+        std::ranges::binary_search(loop.published_evacuated, here);
+    const bool is_evacuated =
+        std::ranges::binary_search(loop.state.evacuated, here);
+    loop.published_evacuated = loop.state.evacuated;
+    if (was_evacuated == is_evacuated)
+    {
+        return;
+    }
+    if (!is_evacuated && loop.has_cold_bounds)
+    {
+        publish_upstream(loop, suspect_cold(loop.upstream, now()));
+    }
+    set_evacuated(loop.gate, is_evacuated);
+}
+
 void publish_members(control_loop& loop)
 {
-    if (loop.state.membership.version == loop.published_members)
+    const bool is_published =
+        loop.state.membership.version == loop.published_members &&
+        loop.state.evacuated == loop.published_evacuated &&
+        loop.state.chain.current == loop.routed_configuration;
+    if (is_published)
     {
         return;
     }
     loop.published_members = loop.state.membership.version;
+    loop.routed_configuration = loop.state.chain.current;
     const auto locations = membership_upstreams(loop.state.membership);
     std::unique_ptr<const routing_view> next;
     {
         const auto previous = loop.services.path.routing.read();
         next = std::make_unique<const routing_view>(build_routing_view(
-            locations, loop.state.membership.settings.data_centre, *previous));
+            locations, loop.state.membership.settings.data_centre, *previous,
+            placement_of(loop.state)));
     }
     loop.services.path.routing.publish(std::move(next));
+    publish_evacuation(loop);
     if (loop.fleet_retry_slack > 0)
     {
         // Half of it, because the nested calls of a retried request may be
--- a/src/adapters/control_loop.hpp
+++ b/src/adapters/control_loop.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace cyclamenhold
 {
@@ -53,6 +54,9 @@
 
     // The versions published last.
     std::uint64_t published_members = 0;
+    std::vector<data_centre_id> published_evacuated;
+    // The configuration whose data centres are in the published routing view.
+    std::shared_ptr<const configuration> routed_configuration;
     std::uint64_t published_quarantine = 0;
     std::shared_ptr<const configuration> published_configuration;
     commit_token next_commit = 1;
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -370,6 +370,16 @@
     apply_decisions(gate, decisions);
 }
 
+void set_evacuated(local_gate& gate, bool is_evacuated)
+{
+    gate_decisions decisions;
+    {
+        const std::scoped_lock lock(gate.mutex);
+        decisions = gate_set_evacuated(gate.gate, is_evacuated, now());
+    }
+    apply_decisions(gate, decisions);
+}
+
 void tick_gate(local_gate& gate)
 {
     gate_decisions decisions;
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -71,6 +71,9 @@
     local_gate& gate, const upstream_record& record,
     const upstream_address& address);
 
+// Applies the start or the end of an evacuation of this data centre.
+void set_evacuated(local_gate& gate, bool is_evacuated);
+
 // Drops expired requests; called about every 10 ms.
 void tick_gate(local_gate& gate);
 
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -229,9 +229,17 @@
         settings.document.key = profile.document_key;
         settings.document.read = profile.read_document;
         settings.document.fleet_secret = node.services.fleet_secret;
-        for (const auto& name : node.settings.data_centres)
+        if (node.settings.watches_evacuations != 0)
         {
-            settings.document.data_centres.push_back({name, {}, 1.0});
+            settings.document.evacuation_prefix = profile.evacuation_prefix;
+            settings.document.operator_prefix = profile.operator_prefix;
+        }
+        const auto& regions = node.settings.data_centre_regions;
+        for (std::size_t i = 0; i < node.settings.data_centres.size(); ++i)
+        {
+            settings.document.data_centres.push_back(
+                {node.settings.data_centres[i],
+                 i < regions.size() ? regions[i] : "", 1.0});
         }
     }
     settings.rates.self = node.services.self;
--- a/src/adapters/platform_client.cpp
+++ b/src/adapters/platform_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace cyclamenhold
@@ -92,6 +93,20 @@
     co_return true;
 }
 
+// The platform's era in a response; zero if it has none that can be read.
+std::uint64_t era_of(const platform_codec& codec, const http_result& result)
+{
+    if (codec.era_header.empty())
+    {
+        return 0;
+    }
+    const auto text = header_value(result.headers, codec.era_header);
+    std::uint64_t era = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), era);
+    return error == std::errc() && end == text.data() + text.size() ? era : 0;
+}
+
 asio::awaitable<platform_reply>
 exchange(platform_connections& client, const platform_call& call)
 {
@@ -121,7 +136,8 @@
         record_failure(client);
         co_return unavailable_reply(call);
     }
-    auto reply = codec.decode_reply(call, {result.http_status, result.body});
+    auto reply = codec.decode_reply(
+        call, {result.http_status, result.body, era_of(codec, result)});
     if (!reply.ok() || reply->status == platform_status::unavailable ||
         reply->status == platform_status::rejected)
     {
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -129,6 +129,10 @@
     // All data centres, each with the same share of the rates. Used when the
     // configuration has none.
     std::vector<std::string> data_centres;
+    // Their regions, in the same order; empty if not given.
+    std::vector<std::string> data_centre_regions;
+    // Whether operators evacuate data centres by entries of the store.
+    std::uint32_t watches_evacuations = 0;
     interface_kind interface = interface_kind::cyclamen;
     // The service of the upstream on this host; sent to other upstreams with
     // the requests that enter here.
--- a/src/adapters/settings_checks.cpp
+++ b/src/adapters/settings_checks.cpp
@@ -130,6 +130,18 @@
     }
 }
 
+void check_regions(settings_result& result)
+{
+    const auto& settings = result.settings;
+    if (!settings.data_centre_regions.empty() &&
+        settings.data_centre_regions.size() != settings.data_centres.size())
+    {
+        add_finding(
+            result.found, "/data_centre_regions",
+            "must have one region for each of /data_centres");
+    }
+}
+
 } // namespace
 
 void check_settings(settings_result& result, const settings_pointers& given)
@@ -141,6 +153,7 @@
     check_advertise(result, given);
     check_membership(result);
     check_platform(result);
+    check_regions(result);
 }
 
 } // namespace cyclamenhold
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -33,6 +33,16 @@
         "/data_centres", CYCLAMEN_MEMBER(data_centres), optional, 0, 0, "",
         "All data centres, each with the same share of the rates. Used "
         "when the configuration has none."},
+    setting_entry{
+        "/data_centre_regions", CYCLAMEN_MEMBER(data_centre_regions), optional,
+        0, 0, "",
+        "The regions of the data centres in `/data_centres`, in the same "
+        "order."},
+    setting_entry{
+        "/watches_evacuations", CYCLAMEN_MEMBER(watches_evacuations), optional,
+        0, 1, "",
+        "1 if operators evacuate data centres by entries of the key-value "
+        "service."},
     setting_entry{
         "/interface", CYCLAMEN_MEMBER(interface), optional, 0, 0, "",
         "The protocol that the node uses with callers, the upstream, "
--- a/src/core/base/ids.cpp
+++ b/src/core/base/ids.cpp
@@ -45,6 +45,12 @@
     return static_cast<data_centre_id>(folded == 0 ? 1 : folded);
 }
 
+region_id region_id_of(std::string_view name)
+{
+    const auto folded = static_cast<std::uint32_t>(hash_name(name) >> 32);
+    return static_cast<region_id>(folded == 0 ? 1 : folded);
+}
+
 std::optional<host_id> parse_host_id(std::string_view text)
 {
     const auto colon = text.find(':');
--- a/src/core/base/ids.hpp
+++ b/src/core/base/ids.hpp
@@ -36,6 +36,11 @@
     none = 0
 };
 
+enum class region_id : std::uint32_t
+{
+    none = 0
+};
+
 // One run of a node process on a host. Larger is newer: the wall clock at start
 // in milliseconds since the Unix epoch, raised above any older incarnation of
 // which other members have a record.
@@ -52,6 +57,7 @@
 [[nodiscard]] workspace_id workspace_id_of(std::string_view name);
 [[nodiscard]] service_id service_id_of(std::string_view name);
 [[nodiscard]] data_centre_id data_centre_id_of(std::string_view name);
+[[nodiscard]] region_id region_id_of(std::string_view name);
 
 // The host_id of an IPv4 address in host byte order and a port.
 [[nodiscard]] constexpr host_id
--- a/src/core/base/outcome.hpp
+++ b/src/core/base/outcome.hpp
@@ -76,13 +76,15 @@
     draining,
     upstream_failed,
     not_configured,
-    internal_error
+    internal_error,
+    // Operators evacuate the data centre of the upstream.
+    evacuated
 };
 
 template <>
 struct enum_names<refusal>
 {
-    static constexpr std::array<std::pair<refusal, std::string_view>, 21> table{
+    static constexpr std::array<std::pair<refusal, std::string_view>, 22> table{
         {{refusal::none, "none"},
          {refusal::bad_request, "bad-request"},
          {refusal::unauthenticated, "unauthenticated"},
@@ -103,7 +105,8 @@
          {refusal::draining, "draining"},
          {refusal::upstream_failed, "upstream-failed"},
          {refusal::not_configured, "not-configured"},
-         {refusal::internal_error, "internal-error"}}};
+         {refusal::internal_error, "internal-error"},
+         {refusal::evacuated, "evacuated"}}};
 };
 
 // The HTTP status that a refusal is answered with.
@@ -146,6 +149,7 @@
     case refusal::claim_unavailable:
     case refusal::draining:
     case refusal::not_configured:
+    case refusal::evacuated:
         return 503;
     }
     return 500;
--- a/src/core/base/request_context.hpp
+++ b/src/core/base/request_context.hpp
@@ -5,6 +5,7 @@
 #include "core/base/ids.hpp"
 #include "core/base/outcome.hpp"
 #include "core/base/time.hpp"
+#include "core/placement/placement.hpp"
 
 #include <cstdint>
 #include <string>
@@ -72,6 +73,8 @@
     // From the caller; empty if it sent none.
     std::string idempotency_key;
     claim_grant claim;
+    // Used at the node where the request enters; not sent.
+    region_limit regions;
 };
 
 } // namespace cyclamenhold
--- a/src/core/configuration/document_calls.cpp
+++ b/src/core/configuration/document_calls.cpp
@@ -39,14 +39,20 @@
 void start_document_call(
     document_state& state, time_point now, control_actions& actions)
 {
-    state.is_watch = state.platform_revision != 0;
+    const bool lists_evacuations = !state.settings.evacuation_prefix.empty();
+    state.is_list = lists_evacuations && state.listed_revision == 0;
+    state.is_watch = !state.is_list && state.platform_revision != 0;
     const bool is_long_watch = state.is_watch && state.failures == 0;
     platform_call call;
     call.client = platform_client::configuration;
     call.call_id = ++state.last_call_id;
-    call.operation =
-        state.is_watch ? platform_operation::watch : platform_operation::get;
-    call.key = state.settings.key;
+    call.operation = state.is_list    ? platform_operation::list
+                     : state.is_watch ? platform_operation::watch
+                                      : platform_operation::get;
+    call.key = state.is_list ? state.settings.evacuation_prefix
+               : state.is_watch && lists_evacuations
+                   ? state.settings.operator_prefix
+                   : state.settings.key;
     call.timeout =
         is_long_watch ? watch_grace + state.answer_delay : read_timeout(state);
     if (state.is_watch)
--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenhold
 {
@@ -83,6 +84,13 @@
     {
         next.data_centres = state.settings.data_centres;
     }
+    if (const auto found = find_unknown_regions(next); !found.empty())
+    {
+        emit(
+            actions, event_kind::configuration_incomplete,
+            "version " + std::to_string(next.revision) + ": " +
+                summary_of(found));
+    }
     chain.current = std::make_shared<const configuration>(std::move(next));
     chain.applied_at = now;
 }
@@ -158,6 +166,52 @@
     return chain.current->revision != 0;
 }
 
+// Starts over after the platform returned from an older copy: a revision that
+// was given out twice does not tell which changes this node has. False if the
+// reply is of the known era.
+bool begin_era(
+    document_state& state, const platform_reply& reply, time_point now,
+    control_actions& actions)
+{
+    if (reply.era <= state.era)
+    {
+        return false;
+    }
+    const bool is_first = std::exchange(state.era, reply.era) == 0;
+    if (is_first)
+    {
+        return false;
+    }
+    emit(
+        actions, event_kind::platform_available,
+        "the platform returned from an older copy, era " +
+            std::to_string(reply.era));
+    state.platform_revision = 0;
+    state.listed_revision = 0;
+    state.rejected_version = 0;
+    state.next_call_at = now;
+    return true;
+}
+
+// Applies a list of the evacuations and reads the document next.
+void apply_list(
+    document_state& state, const platform_reply& reply, time_point now,
+    control_actions& actions)
+{
+    if (reply.has_more)
+    {
+        event new_event;
+        new_event.kind = event_kind::bad_input;
+        new_event.detail = "the list of evacuations has more than one page";
+        actions.events.push_back(std::move(new_event));
+    }
+    apply_evacuation_entries(
+        state.evacuations, state.settings.evacuation_prefix, reply.entries,
+        reply.era, reply.revision, now);
+    state.listed_revision = std::max<std::uint64_t>(reply.revision, 1);
+    start_document_call(state, now, actions);
+}
+
 void send(host_id to, const chain_message& message, control_actions& actions)
 {
     actions.messages.push_back(
@@ -308,6 +362,7 @@
     {
         // Reading the document covers the missed changes.
         state.platform_revision = 0;
+        state.listed_revision = 0;
         state.next_call_at = now;
         return;
     }
@@ -324,6 +379,22 @@
             seconds_since(state.answered_at, now) + " ago",
         actions);
     record_document_answer(state, reply, now);
+    if (begin_era(state, reply, now, actions))
+    {
+        start_document_call(state, now, actions);
+        return;
+    }
+    if (state.is_list)
+    {
+        apply_list(state, reply, now, actions);
+        return;
+    }
+    if (state.is_watch && !state.settings.evacuation_prefix.empty())
+    {
+        apply_evacuation_changes(
+            state.evacuations, state.settings.evacuation_prefix, reply.entries,
+            reply.era, now);
+    }
     if (!apply_entries(state, chain, reply, now, actions))
     {
         // No document exists yet, or none that can be parsed.
@@ -333,7 +404,11 @@
     state.next_call_at = now;
     chain.platform_read_at =
         std::max(chain.platform_read_at, confirmed_at(state, reply, now));
-    state.platform_revision = std::max(state.platform_revision, reply.revision);
+    // The first watch starts at the list, which is older than the document.
+    const std::uint64_t known_revision =
+        state.is_watch || state.listed_revision == 0 ? reply.revision
+                                                     : state.listed_revision;
+    state.platform_revision = std::max(state.platform_revision, known_revision);
     start_document_call(state, now, actions);
 }
 
@@ -342,6 +417,13 @@
     return state.call_id != 0 ? state.call_expires_at : state.next_call_at;
 }
 
+void exchange_evacuations(
+    document_state& state, membership_state& members, time_point now)
+{
+    merge_evacuations(state.evacuations, members.received_evacuations, now);
+    members.own_evacuations = state.evacuations.current;
+}
+
 time_point configuration_confirmed_at(
     const chain_state& chain, const membership_state& members)
 {
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/configuration/chain.hpp"
+#include "core/placement/evacuations.hpp"
 
 #include <absl/status/statusor.h>
 
@@ -19,6 +20,11 @@
 {
     // The platform's key of the document; empty if operators use intents.
     std::string key;
+    // The entries that name evacuated data centres begin with this; empty if
+    // they are not watched. They are watched together with the document, by the
+    // common beginning of all keys of operators.
+    std::string evacuation_prefix;
+    std::string operator_prefix;
     absl::StatusOr<configuration> (*read)(
         std::string_view text, std::string_view fleet_secret) = nullptr;
     std::string fleet_secret;
@@ -40,6 +46,8 @@
     std::uint64_t call_id = 0;
     std::uint64_t last_call_id = 0;
     bool is_watch = false;
+    // The outstanding call lists the evacuations.
+    bool is_list = false;
     time_point call_started_at{};
     // How long the outstanding call waits for a change; zero for a read.
     duration call_wait{};
@@ -53,6 +61,12 @@
     // The watch returns changes after this revision of the platform; zero if
     // the document must be read first.
     std::uint64_t platform_revision = 0;
+    // The revision of the last list of evacuations; zero if they must be
+    // listed.
+    std::uint64_t listed_revision = 0;
+    // The platform's era in the newest reply.
+    std::uint64_t era = 0;
+    evacuation_state evacuations;
     // The platform's revision of the last document that failed to parse.
     std::uint64_t rejected_version = 0;
     bool is_platform_available = true;
@@ -77,6 +91,11 @@
     time_point now, random_source& random, control_actions& actions);
 [[nodiscard]] time_point document_due(const document_state& state);
 
+// Exchanges the newest list of evacuations with the membership, which passes it
+// on to other members.
+void exchange_evacuations(
+    document_state& state, membership_state& members, time_point now);
+
 // When the configuration of this node was last confirmed to be the newest, by
 // its own read or by one of a peer while no peer has a newer version. Zero if
 // never.
--- a/src/core/configuration/model.hpp
+++ b/src/core/configuration/model.hpp
@@ -29,6 +29,9 @@
     // The rate could not be read. Requests with this workspace's keys are
     // refused.
     bool is_unreadable = false;
+    // The regions to which its requests are limited; empty if they may run
+    // anywhere.
+    std::vector<std::string> regions = {};
     bool operator==(const workspace&) const = default;
 };
 
@@ -78,6 +81,8 @@
     // is empty then. Requests that match are refused. Without a prefix, all
     // requests of the route's host are.
     bool is_unreadable = false;
+    // As `workspace::regions`. A request must keep both.
+    std::vector<std::string> regions = {};
     bool operator==(const route&) const = default;
 };
 
@@ -136,4 +141,8 @@
     bool operator==(const configuration&) const = default;
 };
 
+// The regions to which routes and workspaces are limited and in which no data
+// centre is, with their places.
+[[nodiscard]] findings find_unknown_regions(const configuration& current);
+
 } // namespace cyclamenhold
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -17,8 +17,15 @@
 
 bool is_accepting(const gate_state& gate)
 {
-    return gate.upstream.state == upstream_state::serving ||
-           gate.upstream.state == upstream_state::warming;
+    return !gate.is_evacuated &&
+           (gate.upstream.state == upstream_state::serving ||
+            gate.upstream.state == upstream_state::warming);
+}
+
+// Why a gate that does not accept requests refuses them.
+refusal reason_not_accepting(const gate_state& gate)
+{
+    return gate.is_evacuated ? refusal::evacuated : refusal::draining;
 }
 
 // True for a request whose sender has not received yet that an upstream of
@@ -237,7 +244,7 @@
     apply_cold_bound(gate.cold, record, gate.settings.cold, now);
     if (!is_accepting(gate))
     {
-        refuse_waiting(gate, decisions, refusal::draining);
+        refuse_waiting(gate, decisions, reason_not_accepting(gate));
         return decisions;
     }
     if (gate.service != former)
@@ -248,6 +255,20 @@
     return decisions;
 }
 
+gate_decisions
+gate_set_evacuated(gate_state& gate, bool is_evacuated, time_point now)
+{
+    gate_decisions decisions;
+    gate.is_evacuated = is_evacuated;
+    if (!is_accepting(gate))
+    {
+        refuse_waiting(gate, decisions, reason_not_accepting(gate));
+        return decisions;
+    }
+    start_queued(gate, now, decisions);
+    return decisions;
+}
+
 gate_decisions
 gate_set_rate(gate_state& gate, std::optional<double> rate, time_point now)
 {
@@ -265,7 +286,7 @@
 {
     if (!is_accepting(gate))
     {
-        return {{request.entry_id, refusal::draining}};
+        return {{request.entry_id, reason_not_accepting(gate)}};
     }
     if (is_for_other_service(gate, request.context))
     {
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -72,6 +72,8 @@
 {
     gate_settings settings;
     upstream_record upstream;
+    // Operators evacuate the data centre; nothing is started.
+    bool is_evacuated = false;
     // The service of the upstream.
     service_id service = service_id::none;
     concurrency_limit limit;
@@ -95,6 +97,11 @@
 [[nodiscard]] gate_decisions gate_set_upstream(
     gate_state& gate, const upstream_record& record, time_point now);
 
+// Applies the start or the end of the data centre's evacuation. At the start,
+// queued requests are refused; those that run go on.
+[[nodiscard]] gate_decisions
+gate_set_evacuated(gate_state& gate, bool is_evacuated, time_point now);
+
 // Applies the rate that the upstream's newest reply names; absent if it names
 // none.
 [[nodiscard]] gate_decisions
--- a/src/core/intent/configuration_diff.cpp
+++ b/src/core/intent/configuration_diff.cpp
@@ -16,10 +16,21 @@
     return text.data();
 }
 
+std::string describe_regions(const std::vector<std::string>& regions)
+{
+    std::string text;
+    for (const auto& region : regions)
+    {
+        text += text.empty() ? ", only in " : " and ";
+        text += region;
+    }
+    return text;
+}
+
 std::string describe(const workspace& value)
 {
     return "workspace " + value.name + ": rate " + text_of(value.rate) +
-           ", burst " + text_of(value.burst);
+           ", burst " + text_of(value.burst) + describe_regions(value.regions);
 }
 
 std::string describe(const workspace_key& value)
@@ -38,6 +49,7 @@
     text += value.never_repeat ? ", never repeat" : "";
     text += ", retry allowance " + std::to_string(value.retry_allowance);
     text += ", deadline " + std::to_string(value.deadline.count()) + " ms";
+    text += describe_regions(value.regions);
     return text;
 }
 
--- a/src/core/intent/configuration_json.cpp
+++ b/src/core/intent/configuration_json.cpp
@@ -154,12 +154,55 @@
     return name;
 }
 
+// An optional list of names.
+std::vector<std::string> read_regions(json_reader& reader)
+{
+    std::vector<std::string> regions;
+    const auto* const list = read_field(reader, "regions", false);
+    if (list == nullptr)
+    {
+        return regions;
+    }
+    if (!list->is_array())
+    {
+        add_finding(
+            *reader.found, json_place(reader, "regions"), "must be a list");
+        return regions;
+    }
+    for (const auto& item : list->get_array())
+    {
+        const auto* const text = item.if_string();
+        if (text == nullptr || !is_name({text->data(), text->size()}, "._-"))
+        {
+            add_finding(
+                *reader.found,
+                json_place(reader, "regions") + '/' +
+                    std::to_string(regions.size()),
+                "must be a name");
+            continue;
+        }
+        regions.emplace_back(text->data(), text->size());
+    }
+    return regions;
+}
+
+// Omitted without a limit, as in configurations of earlier versions.
+void write_regions(
+    boost::json::object& object, const std::vector<std::string>& regions)
+{
+    if (!regions.empty())
+    {
+        object["regions"] = boost::json::array(regions.begin(), regions.end());
+    }
+}
+
 workspace read_workspace(json_reader& reader)
 {
     workspace value;
     value.name = read_name(reader, "name");
     value.rate = read_number(reader, "rate", {0.0, highest_rate, true});
     value.burst = read_number(reader, "burst", {0.0, highest_rate, true});
+    value.regions = read_regions(reader);
     return value;
 }
 
@@ -202,6 +245,7 @@
         default_retry_allowance));
     value.deadline = std::chrono::milliseconds(read_integer(
         reader, "deadline_ms", 1, max_deadline_ms, default_deadline_ms));
+    value.regions = read_regions(reader);
     return value;
 }
 
@@ -216,7 +260,10 @@
 
 boost::json::object to_json_object(const workspace& value)
 {
-    return {{"name", value.name}, {"rate", value.rate}, {"burst", value.burst}};
+    boost::json::object object{
+        {"name", value.name}, {"rate", value.rate}, {"burst", value.burst}};
+    write_regions(object, value.regions);
+    return object;
 }
 
 boost::json::object to_json_object(const workspace_key& value)
@@ -231,7 +278,7 @@
 boost::json::object to_json_object(const route& value)
 {
     const std::string_view priority = name_of(value.priority);
-    return {
+    boost::json::object object{
         {"name", value.name},
         {"method", value.method},
         {"path_prefix", value.path_prefix},
@@ -242,6 +289,8 @@
         {"never_repeat", value.never_repeat},
         {"retry_allowance", value.retry_allowance},
         {"deadline_ms", value.deadline.count()}};
+    write_regions(object, value.regions);
+    return object;
 }
 
 boost::json::object to_json_object(const data_centre& value)
--- a/src/core/intent/configuration_json.hpp
+++ b/src/core/intent/configuration_json.hpp
@@ -1,10 +1,11 @@
 // Converts the configuration and its parts to and from JSON, for operators, for
 // changes in the chain and for its snapshots.
 //
-// Fields: workspace {name, rate, burst}; key {id, workspace, digest,
+// Fields: workspace {name, rate, burst, regions}; key {id, workspace, digest,
 // withdrawn}; route {name, method, path_prefix, service, priority, open,
-// never_repeat, retry_allowance, deadline_ms}; data centre {name, region,
-// weight}; the whole {revision, workspaces, keys, routes, data_centres}.
+// never_repeat, retry_allowance, deadline_ms, regions}; data centre {name,
+// region, weight}; the whole {revision, workspaces, keys, routes,
+// data_centres}.
 #pragma once
 
 #include "core/configuration/model.hpp"
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -284,6 +284,10 @@
         return;
     }
     handle_sender(state, *decoded, now, actions);
+    if (is_newer(decoded->evacuations, state.received_evacuations))
+    {
+        state.received_evacuations = decoded->evacuations;
+    }
     merge_contacts(state, *decoded);
     merge_updates(state, *decoded, now, actions);
     handle_body(state, *decoded, now, actions);
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -4,6 +4,7 @@
 
 #include "core/base/random.hpp"
 #include "core/base/time.hpp"
+#include "core/placement/evacuations.hpp"
 #include "core/routing/upstream.hpp"
 #include "ports/control_actions.hpp"
 
@@ -200,6 +201,10 @@
     host_id highest_revision_host = host_id::none;
     // Other data centres.
     std::map<data_centre_id, data_centre_link> data_centres;
+    // The evacuated data centres; set by the owner, sent with each message.
+    evacuation_list own_evacuations;
+    // The newest list that a member has sent.
+    evacuation_list received_evacuations;
 
     // Private to the membership code.
     std::uint32_t self_refutation = 0;
--- a/src/core/membership/membership_wire.cpp
+++ b/src/core/membership/membership_wire.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/membership_wire.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace cyclamenhold
@@ -14,6 +15,7 @@
 // status and service name.
 constexpr std::size_t record_overhead = 64;
 constexpr std::size_t max_service_name_size = 255;
+constexpr std::size_t max_evacuated = 32;
 
 wire_format::member_status to_wire(const member_status_report& report)
 {
@@ -155,6 +157,28 @@
     return true;
 }
 
+bool read_evacuations(
+    const wire_format::message& table, membership_message& message)
+{
+    message.evacuations.era = table.evacuation_era();
+    message.evacuations.revision = table.evacuation_revision();
+    if (table.evacuated() == nullptr)
+    {
+        return true;
+    }
+    if (table.evacuated()->size() > max_evacuated)
+    {
+        return false;
+    }
+    for (const std::uint32_t data_centre : *table.evacuated())
+    {
+        message.evacuations.data_centres.push_back(
+            static_cast<data_centre_id>(data_centre));
+    }
+    std::ranges::sort(message.evacuations.data_centres);
+    return true;
+}
+
 } // namespace
 
 std::vector<std::uint8_t> encode(const membership_message& message)
@@ -185,11 +209,19 @@
         statuses.empty() ? 0 : builder.CreateVectorOfStructs(statuses);
     const auto contact_list =
         contacts.empty() ? 0 : builder.CreateVectorOfStructs(contacts);
+    std::vector<std::uint32_t> evacuated;
+    for (const auto data_centre : message.evacuations.data_centres)
+    {
+        evacuated.push_back(static_cast<std::uint32_t>(data_centre));
+    }
+    const auto evacuated_list =
+        evacuated.empty() ? 0 : builder.CreateVector(evacuated);
     const auto body = write_body(builder, message);
     const auto sender = to_wire(message.sender);
     builder.Finish(wire_format::Createmessage(
         builder, &sender, message.sender_upstream_version, message.revision,
-        contact_list, status_list, record_list, message.kind, body));
+        contact_list, status_list, record_list, message.kind, body,
+        message.evacuations.era, message.evacuations.revision, evacuated_list));
     return {
         builder.GetBufferPointer(),
         builder.GetBufferPointer() + builder.GetSize()};
@@ -223,6 +255,10 @@
                  contact->age_ms()});
         }
     }
+    if (!read_evacuations(table, message))
+    {
+        return std::nullopt;
+    }
     read_body(table, message);
     if (!read_updates(table, message))
     {
--- a/src/core/membership/membership_wire.hpp
+++ b/src/core/membership/membership_wire.hpp
@@ -32,6 +32,7 @@
     member_status_report sender;
     std::uint64_t sender_upstream_version = 0;
     std::uint64_t revision = 0;
+    evacuation_list evacuations;
     // Sent in acks only; see merge_contacts.
     std::vector<data_centre_age> contacts;
     std::vector<member_update> updates;
--- a/src/core/membership/sending.cpp
+++ b/src/core/membership/sending.cpp
@@ -118,6 +118,7 @@
     message.sender = own_report(state);
     message.sender_upstream_version = state.local_upstream.version;
     message.revision = state.own_revision;
+    message.evacuations = state.own_evacuations;
     if (kind != message_body::ack)
     {
         return message;
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -1,6 +1,8 @@
 #include "core/node/control.hpp"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 namespace cyclamenhold
 {
@@ -17,6 +19,47 @@
         state.wall_clock_ms};
 }
 
+namespace
+{
+
+std::string describe_evacuated(const control_state& state)
+{
+    std::string text;
+    for (const auto evacuated : state.evacuated)
+    {
+        const auto& known = state.document.settings.data_centres;
+        const auto found = std::ranges::find_if(
+            known,
+            [evacuated](const data_centre& entry)
+            {
+                return data_centre_id_of(entry.name) == evacuated;
+            });
+        text += text.empty() ? "" : ", ";
+        text += found == known.end() ? "one that is not of this deployment"
+                                     : found->name;
+    }
+    return text.empty() ? "none" : text;
+}
+
+// Takes over changes of the list of evacuated data centres.
+void update_evacuations(
+    control_state& state, time_point now, control_actions& actions)
+{
+    exchange_evacuations(state.document, state.membership, now);
+    auto evacuated = evacuated_data_centres(state.document.evacuations, now);
+    if (evacuated == state.evacuated)
+    {
+        return;
+    }
+    state.evacuated = std::move(evacuated);
+    event new_event;
+    new_event.kind = event_kind::evacuation_changed;
+    new_event.detail = "evacuated: " + describe_evacuated(state);
+    actions.events.push_back(std::move(new_event));
+}
+
+} // namespace
+
 void control_start(
     control_state& state, const control_settings& settings,
     rate_limiter& limiter, std::uint64_t wall_clock_ms, time_point now,
@@ -61,6 +104,7 @@
     {
         chain_tick(state.chain, state.membership, now, random, actions);
     }
+    update_evacuations(state, now, actions);
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
     claims_tick(state.claims, inputs_of_claims(state), now, random, actions);
     quarantine_tick(
@@ -76,6 +120,7 @@
     {
     case message_kind::membership:
         membership_on_message(state.membership, message, now, random, actions);
+        update_evacuations(state, now, actions);
         return;
     case message_kind::configuration:
         if (reads_documents(state.document))
@@ -119,6 +164,7 @@
         {
             document_on_platform_reply(
                 state.document, state.chain, reply, now, random, actions);
+            update_evacuations(state, now, actions);
             return;
         }
         chain_on_platform_reply(
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -10,6 +10,7 @@
 #include "core/rates/rates.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace cyclamenhold
 {
@@ -41,6 +42,8 @@
     // When this node first had a configuration; zero if it has none.
     time_point configured_at{};
     bool may_serve = false;
+    // The data centres that are evacuated now, sorted.
+    std::vector<data_centre_id> evacuated;
 };
 
 // A node that has a configuration but neither the platform's nor a member's
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -184,6 +184,11 @@
 // Applies the settings of the request's workspace.
 void apply_workspace(const request_tables& tables, call_state& call)
 {
+    const auto regions = tables.workspace_regions.find(call.context.workspace);
+    if (regions != tables.workspace_regions.end())
+    {
+        call.context.regions = both(call.context.regions, regions->second);
+    }
     const auto found = tables.workspaces.find(call.context.workspace);
     if (found == tables.workspaces.end())
     {
@@ -249,6 +254,7 @@
 {
     return has_not_run(result) && (result.reason == refusal::overloaded ||
                                    result.reason == refusal::draining ||
+                                   result.reason == refusal::evacuated ||
                                    result.reason == refusal::no_upstream);
 }
 
--- a/src/core/request/call_context.cpp
+++ b/src/core/request/call_context.cpp
@@ -34,6 +34,7 @@
     context.never_repeat = settings.never_repeat;
     context.idempotency_key = request.idempotency_key;
     context.digest = digest_of(request, workspace);
+    context.regions = route.regions;
     const auto limit = std::chrono::milliseconds(settings.deadline);
     context.deadline = now + std::min(limit, request.timeout.value_or(limit));
     if (request.parent)
--- a/src/core/request/refusal_inputs.cpp
+++ b/src/core/request/refusal_inputs.cpp
@@ -47,8 +47,9 @@
 std::string choice_inputs(const routing_choice& choice, std::size_t tried)
 {
     return absl::StrFormat(
-        "%d upstreams known, %d usable, %d tried", choice.known, choice.usable,
-        tried);
+        "%d upstreams known, %d usable, %d tried, %d where the request may not "
+        "run",
+        choice.known, choice.usable, tried, choice.excluded);
 }
 
 } // namespace cyclamenhold
--- a/src/core/request/request_tables.cpp
+++ b/src/core/request/request_tables.cpp
@@ -36,7 +36,11 @@
 
 route_entry entry_of(const route& settings)
 {
-    route_entry entry{settings, service_id_of(settings.service), {}};
+    route_entry entry{
+        settings,
+        service_id_of(settings.service),
+        {},
+        limit_to(settings.regions)};
     double sum = 0.0;
     for (const auto& part : settings.split)
     {
@@ -150,6 +154,11 @@
     for (const auto& entry : current.workspaces)
     {
         tables.workspaces.emplace(workspace_id_of(entry.name), entry);
+        if (!entry.regions.empty())
+        {
+            tables.workspace_regions.emplace(
+                workspace_id_of(entry.name), limit_to(entry.regions));
+        }
     }
     return tables;
 }
--- a/src/core/request/request_tables.hpp
+++ b/src/core/request/request_tables.hpp
@@ -4,6 +4,7 @@
 
 #include "core/base/random.hpp"
 #include "core/configuration/model.hpp"
+#include "core/placement/placement.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -21,6 +22,7 @@
     service_id service = service_id::none;
     // The services of a traffic split, with their cumulative weights.
     std::vector<std::pair<double, service_id>> split;
+    region_limit regions;
 };
 
 struct key_entry
@@ -40,6 +42,8 @@
     // Opaque keys by the digest of their whole text.
     std::unordered_map<std::string, key_entry> opaque_keys;
     std::unordered_map<workspace_id, workspace> workspaces;
+    // Of the workspaces that are limited to regions.
+    std::unordered_map<workspace_id, region_limit> workspace_regions;
     caller_limits limits;
     // See `configuration`.
     bool has_unreadable_keys = false;
--- a/src/core/routing/routing.cpp
+++ b/src/core/routing/routing.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 #include <boost/container/small_vector.hpp>
 
@@ -248,18 +249,28 @@
     }
 }
 
-candidate_list usable_of(
-    const std::vector<routing_candidate>& candidates,
-    std::span<const host_id> tried, time_point now)
+// The upstreams in data centres where the request may run. Counts the others.
+candidate_list permitted_of(
+    const routing_view& view, const std::vector<routing_candidate>& candidates,
+    const request_context& context, std::size_t& excluded)
 {
-    candidate_list usable;
+    candidate_list permitted;
     for (const auto& candidate : candidates)
     {
-        if (is_usable(candidate))
+        const bool is_permitted = may_run_in(
+            view.placement, context.regions, candidate.location.data_centre);
+        excluded += is_permitted ? 0 : 1;
+        if (is_permitted && is_usable(candidate))
         {
-            usable.push_back(&candidate);
+            permitted.push_back(&candidate);
         }
     }
+    return permitted;
+}
+
+candidate_list
+usable_of(candidate_list usable, std::span<const host_id> tried, time_point now)
+{
     drop_unreachable(usable, now);
     drop_ejected(usable, now);
     candidate_list untried;
@@ -277,10 +288,12 @@
 
 routing_view build_routing_view(
     std::span<const upstream_location> locations,
-    data_centre_id local_data_centre, const routing_view& previous)
+    data_centre_id local_data_centre, const routing_view& previous,
+    placement_view placement)
 {
     routing_view view;
     view.local_data_centre = local_data_centre;
+    view.placement = std::move(placement);
     for (const auto& location : locations)
     {
         if (location.record.state != upstream_state::absent)
@@ -320,7 +333,9 @@
         choice.reason = refusal::no_upstream;
         return choice;
     }
-    const candidate_list usable = usable_of(found->second, tried, now);
+    const candidate_list usable = usable_of(
+        permitted_of(view, found->second, context, choice.excluded), tried,
+        now);
     choice.known = found->second.size();
     choice.usable = usable.size();
     if (usable.empty())
--- a/src/core/routing/routing.hpp
+++ b/src/core/routing/routing.hpp
@@ -4,6 +4,7 @@
 #include "core/base/random.hpp"
 #include "core/base/request_context.hpp"
 #include "core/base/time.hpp"
+#include "core/placement/placement.hpp"
 #include "core/routing/upstream.hpp"
 #include "core/routing/upstream_stats.hpp"
 
@@ -25,6 +26,7 @@
 struct routing_view
 {
     data_centre_id local_data_centre = data_centre_id::none;
+    placement_view placement;
     std::unordered_map<service_id, std::vector<routing_candidate>> services;
 };
 
@@ -32,7 +34,8 @@
 // `previous` holds in the same incarnation.
 [[nodiscard]] routing_view build_routing_view(
     std::span<const upstream_location> locations,
-    data_centre_id local_data_centre, const routing_view& previous);
+    data_centre_id local_data_centre, const routing_view& previous,
+    placement_view placement = {});
 
 // Records for all upstreams of the host that it does not answer. Returns false
 // when that was recorded for all of them already.
@@ -50,6 +53,8 @@
     // selected.
     std::size_t known = 0;
     std::size_t usable = 0;
+    // Of those known, the number in data centres where the request may not run.
+    std::size_t excluded = 0;
 };
 
 // Selects an upstream for a request, avoiding the hosts in `tried` while there
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -53,13 +53,14 @@
     peer_silent,
     bad_input,
     platform_unavailable,
-    platform_available
+    platform_available,
+    evacuation_changed
 };
 
 template <>
 struct enum_names<event_kind>
 {
-    static constexpr std::array<std::pair<event_kind, std::string_view>, 40>
+    static constexpr std::array<std::pair<event_kind, std::string_view>, 41>
         table{
             {{event_kind::node_started, "node-started"},
              {event_kind::node_stopping, "node-stopping"},
@@ -100,7 +101,8 @@
              {event_kind::peer_silent, "peer-silent"},
              {event_kind::bad_input, "bad-input"},
              {event_kind::platform_unavailable, "platform-unavailable"},
-             {event_kind::platform_available, "platform-available"}}};
+             {event_kind::platform_available, "platform-available"},
+             {event_kind::evacuation_changed, "evacuation-changed"}}};
 };
 
 // An event before the node adds its time and its host_id.
--- a/src/ports/platform.hpp
+++ b/src/ports/platform.hpp
@@ -133,6 +133,9 @@
     std::uint64_t lease = 0;
     // For a list: more keys follow the last one.
     bool has_more = false;
+    // Grows each time that the platform returns from an older copy and gives
+    // revisions out again; zero if it doesn't say.
+    std::uint64_t era = 0;
 };
 
 // One call as an HTTP request.
@@ -147,6 +150,8 @@
 {
     unsigned status = 0;
     std::string body;
+    // The value of platform_codec::era_header; zero without one.
+    std::uint64_t era = 0;
 };
 
 // The encoding of the platform's calls over HTTP. The client encodes calls and
@@ -160,6 +165,8 @@
         nullptr;
     platform_response (*encode_reply)(
         const platform_call&, const platform_reply&) = nullptr;
+    // The name of the header with the platform's era; empty if there is none.
+    std::string era_header;
 };
 
 } // namespace cyclamenhold
--- a/src/ports/protocol_profile.hpp
+++ b/src/ports/protocol_profile.hpp
@@ -99,6 +99,11 @@
         std::string_view text, std::string_view fleet_secret) = nullptr;
     // The key of that value in the store.
     std::string document_key;
+    // The entries of the store by which operators evacuate data centres: this
+    // and the data centre's name. Empty if there are none.
+    std::string evacuation_prefix;
+    // The common beginning of all keys that operators write.
+    std::string operator_prefix;
     platform_codec store;
 };
 
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -386,8 +386,7 @@
 
 stream_failure failure_of(const wire::stream_failed& failed)
 {
-    constexpr auto last_reason =
-        static_cast<std::uint8_t>(refusal::internal_error);
+    constexpr auto last_reason = static_cast<std::uint8_t>(refusal::evacuated);
     constexpr auto last_outcome = static_cast<std::uint8_t>(outcome::unknown);
     stream_failure failure;
     failure.reason =
--- a/tests/support/document_fixture.hpp
+++ b/tests/support/document_fixture.hpp
@@ -59,7 +59,8 @@
 
     void answer(
         const platform_call& call, platform_status status,
-        std::vector<platform_entry> entries = {}, std::uint64_t revision = 0)
+        std::vector<platform_entry> entries = {}, std::uint64_t revision = 0,
+        std::uint64_t era = 0)
     {
         platform_reply reply;
         reply.client = call.client;
@@ -67,6 +68,7 @@
         reply.status = status;
         reply.entries = std::move(entries);
         reply.revision = revision;
+        reply.era = era;
         document_on_platform_reply(state, chain, reply, now, random, actions);
     }
 
