--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -166,33 +166,6 @@
     return chain.current->revision != 0;
 }
 
-// Starts over after the platform returned from an older copy: a revision that
-// was given out twice does not tell which changes this node has. False if the
-// reply is of the known era.
-bool begin_era(
-    document_state& state, const platform_reply& reply, time_point now,
-    control_actions& actions)
-{
-    if (reply.era <= state.era)
-    {
-        return false;
-    }
-    const bool is_first = std::exchange(state.era, reply.era) == 0;
-    if (is_first)
-    {
-        return false;
-    }
-    emit(
-        actions, event_kind::platform_available,
-        "the platform returned from an older copy, era " +
-            std::to_string(reply.era));
-    state.platform_revision = 0;
-    state.listed_revision = 0;
-    state.rejected_version = 0;
-    state.next_call_at = now;
-    return true;
-}
-
 // Applies a list of the evacuations and reads the document next.
 void apply_list(
     document_state& state, const platform_reply& reply, time_point now,
@@ -379,11 +352,6 @@
             seconds_since(state.answered_at, now) + " ago",
         actions);
     record_document_answer(state, reply, now);
-    if (begin_era(state, reply, now, actions))
-    {
-        start_document_call(state, now, actions);
-        return;
-    }
     if (state.is_list)
     {
         apply_list(state, reply, now, actions);
@@ -417,6 +385,18 @@
     return state.call_id != 0 ? state.call_expires_at : state.next_call_at;
 }
 
+void document_begin_era(
+    document_state& state, std::uint64_t era, time_point now)
+{
+    state.era = era;
+    // A reply of the earlier era may still arrive.
+    state.call_id = 0;
+    state.platform_revision = 0;
+    state.listed_revision = 0;
+    state.rejected_version = 0;
+    state.next_call_at = now;
+}
+
 void exchange_evacuations(
     document_state& state, membership_state& members, time_point now)
 {
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -64,7 +64,7 @@
     // The revision of the last list of evacuations; zero if they must be
     // listed.
     std::uint64_t listed_revision = 0;
-    // The platform's era in the newest reply.
+    // The platform's era; zero if it names none.
     std::uint64_t era = 0;
     evacuation_state evacuations;
     // The platform's revision of the last document that failed to parse.
@@ -91,6 +91,11 @@
     time_point now, random_source& random, control_actions& actions);
 [[nodiscard]] time_point document_due(const document_state& state);
 
+// The platform has begun a new era: it returned from an older copy and gives
+// revisions out again. Reads everything anew, and ignores the outstanding call.
+void document_begin_era(
+    document_state& state, std::uint64_t era, time_point now);
+
 // Exchanges the newest list of evacuations with the membership, which passes it
 // on to other members.
 void exchange_evacuations(
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -300,6 +300,12 @@
     handle_seed_reply(state, reply, now, random, actions);
 }
 
+void membership_begin_era(
+    membership_state& state, time_point now, random_source& random)
+{
+    restart_seeds(state, now, random);
+}
+
 time_point membership_due(const membership_state& state)
 {
     time_point due = probes_due(state);
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -240,6 +240,11 @@
     membership_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions);
 
+// The platform has begun a new era: the lease and the entry of this node are
+// gone.
+void membership_begin_era(
+    membership_state& state, time_point now, random_source& random);
+
 // Returns when membership_tick is due next.
 [[nodiscard]] time_point membership_due(const membership_state& state);
 
--- a/src/core/membership/seeds.cpp
+++ b/src/core/membership/seeds.cpp
@@ -347,6 +347,23 @@
     }
 }
 
+void restart_seeds(
+    membership_state& state, time_point now, random_source& random)
+{
+    seed_state& seed = state.seed;
+    // A reply to the call in progress is ignored.
+    seed.phase = seed_phase::idle;
+    ++seed.call_id;
+    seed.lease = 0;
+    seed.published = false;
+    seed.entry_version = 0;
+    seed.failures = 0;
+    const duration delay = from_seconds(
+        to_seconds(max_first_list_delay) * random_fraction(random));
+    seed.next_lease_at = now + delay;
+    seed.next_list_at = now + delay;
+}
+
 void revoke_seed_entry(membership_state& state, control_actions& actions)
 {
     if (state.seed.lease != 0)
--- a/src/core/membership/seeds.hpp
+++ b/src/core/membership/seeds.hpp
@@ -19,6 +19,11 @@
     membership_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions);
 
+// Forgets the lease and the entry, which the platform has lost, and writes them
+// again soon.
+void restart_seeds(
+    membership_state& state, time_point now, random_source& random);
+
 // Revokes the lease of this node's entry at once.
 void revoke_seed_entry(membership_state& state, control_actions& actions);
 
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -58,6 +58,28 @@
     actions.events.push_back(std::move(new_event));
 }
 
+// Starts over what depends on the platform's revisions and leases when it has
+// returned from an older copy: both are given out again, so that those of
+// before may belong to something else now.
+void begin_platform_era(
+    control_state& state, std::uint64_t era, time_point now,
+    random_source& random, control_actions& actions)
+{
+    const std::uint64_t former = std::exchange(state.platform_era, era);
+    if (former == 0)
+    {
+        return;
+    }
+    event new_event;
+    new_event.kind = event_kind::platform_rewound;
+    new_event.detail = "the platform returned from an older copy: era " +
+                       std::to_string(era) + " after " + std::to_string(former);
+    actions.events.push_back(std::move(new_event));
+    document_begin_era(state.document, era, now);
+    membership_begin_era(state.membership, now, random);
+    quarantine_begin_era(state.quarantine, now, random);
+}
+
 } // namespace
 
 void control_start(
@@ -152,6 +174,19 @@
     control_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions)
 {
+    if (reply.era > state.platform_era)
+    {
+        begin_platform_era(state, reply.era, now, random, actions);
+    }
+    else if (reply.era != 0 && reply.era < state.platform_era)
+    {
+        // Sent before the platform returned; what it says no longer holds.
+        platform_reply outdated = reply;
+        outdated.status = platform_status::unavailable;
+        outdated.era = 0;
+        control_on_platform_reply(state, outdated, now, random, actions);
+        return;
+    }
     switch (reply.client)
     {
     case platform_client::membership:
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -42,6 +42,8 @@
     // When this node first had a configuration; zero if it has none.
     time_point configured_at{};
     bool may_serve = false;
+    // The era of the platform in the newest reply; zero if it names none.
+    std::uint64_t platform_era = 0;
     // The data centres that are evacuated now, sorted.
     std::vector<data_centre_id> evacuated;
 };
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -207,6 +207,12 @@
     tick_record(state, members, now, random, actions);
 }
 
+void quarantine_begin_era(
+    quarantine_state& state, time_point now, random_source& random)
+{
+    restart_record(state, now, random);
+}
+
 time_point quarantine_due(const quarantine_state& state)
 {
     time_point due = std::min(
--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -173,6 +173,10 @@
     quarantine_state& state, const membership_state& members,
     std::uint64_t wall_clock_ms, time_point now, random_source& random,
     control_actions& actions);
+// The platform has begun a new era: what it has lost of the record is written
+// again.
+void quarantine_begin_era(
+    quarantine_state& state, time_point now, random_source& random);
 [[nodiscard]] time_point quarantine_due(const quarantine_state& state);
 
 // Whether this node has obtained the fleet's table since its start.
--- a/src/core/quarantine/quarantine_record.cpp
+++ b/src/core/quarantine/quarantine_record.cpp
@@ -377,6 +377,25 @@
     }
 }
 
+void restart_record(
+    quarantine_state& state, time_point now, random_source& random)
+{
+    quarantine_record& record = state.record;
+    // Replies to the calls in progress are ignored.
+    record.read_call = 0;
+    record.write_call = 0;
+    record.write_lease = 0;
+    record.read_failures = 0;
+    restart_list(record, now + jittered(longest_watch_delay, random));
+    for (const auto& [digest, ends_at] : state.quarantined)
+    {
+        if (ends_at - now >= shortest_recorded)
+        {
+            record_later(state, digest, false, now, random);
+        }
+    }
+}
+
 time_point record_due(const quarantine_record& record)
 {
     time_point due =
--- a/src/core/quarantine/quarantine_record.hpp
+++ b/src/core/quarantine/quarantine_record.hpp
@@ -22,6 +22,11 @@
     quarantine_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions);
 
+// The platform has begun a new era: the record is listed again, and what it has
+// lost is written again.
+void restart_record(
+    quarantine_state& state, time_point now, random_source& random);
+
 [[nodiscard]] time_point record_due(const quarantine_record& record);
 
 } // namespace cyclamenhold
--- a/src/standin/key_value_store.cpp
+++ b/src/standin/key_value_store.cpp
@@ -24,6 +24,7 @@
     platform_reply reply)
 {
     reply.revision = store.revision;
+    reply.era = store.era;
     store.answers.emplace(due, store_answer{caller, std::move(reply)});
 }
 
@@ -440,6 +441,31 @@
     expire_leases(store, now);
 }
 
+store_copy take_copy(const key_value_store& store)
+{
+    return {store.revision, store.values, store.next_lease};
+}
+
+void store_go_back(
+    key_value_store& store, const store_copy& copy, time_point now)
+{
+    store.revision = copy.revision;
+    store.values = copy.values;
+    std::erase_if(
+        store.values,
+        [](const auto& item)
+        {
+            return item.second.lease != 0;
+        });
+    store.leases.clear();
+    store.next_lease = copy.next_lease;
+    ++store.era;
+    for (const auto& [end, watch] : std::exchange(store.watches, {}))
+    {
+        answer_unavailable(store, watch, now);
+    }
+}
+
 std::uint64_t store_call_count(const key_value_store& store)
 {
     return std::accumulate(
--- a/src/standin/key_value_store.hpp
+++ b/src/standin/key_value_store.hpp
@@ -89,6 +89,8 @@
     std::map<std::string, stored_value> values;
     std::map<std::uint64_t, store_lease> leases;
     std::uint64_t next_lease = 1;
+    // Rises each time that the store goes back to a copy.
+    std::uint64_t era = 1;
     // Calls by the time at which they take effect.
     std::multimap<time_point, pending_call> in_transit;
     // Waiting watches by the time at which their wait ends.
@@ -124,6 +126,21 @@
 // Expires all leases.
 void store_expire_all_leases(key_value_store& store, time_point now);
 
+// What a copy of the store holds.
+struct store_copy
+{
+    std::uint64_t revision = 0;
+    std::map<std::string, stored_value> values;
+    std::uint64_t next_lease = 1;
+};
+
+[[nodiscard]] store_copy take_copy(const key_value_store& store);
+
+// Goes back to an earlier copy: revisions and leases are given out again,
+// entries under leases are gone, and waiting watches end without a reply.
+void store_go_back(
+    key_value_store& store, const store_copy& copy, time_point now);
+
 // Calls received since the start: all, and those of one operation.
 [[nodiscard]] std::uint64_t store_call_count(const key_value_store& store);
 [[nodiscard]] std::uint64_t
--- a/tests/core/evacuations_test.cpp
+++ b/tests/core/evacuations_test.cpp
@@ -101,9 +101,11 @@
     evacuation_fixture node;
     auto watch = node.start({{prefix + "graz", "", 35}}, 1);
     {
-        SCOPED_TRACE("a reply of the next era starts over");
+        SCOPED_TRACE("the next era starts over");
+        document_begin_era(node.state, 2, node.now);
         node.answer(
-            watch, platform_status::ok, {{prefix + "wien", "", 41}}, 41, 2);
+            watch, platform_status::ok, {{prefix + "wien", "", 41}}, 41, 1);
+        EXPECT_EQ(node.evacuated(), ids{graz});
         const auto list = *node.next_call();
         EXPECT_EQ(list.operation, platform_operation::list);
         node.answer(list, platform_status::ok, {}, 20, 2);
