--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -404,6 +404,12 @@
                                          loop, loop.upstream.record.service)));
         publish_upstream(loop, check_upstream(loop.upstream, now()));
     }
+    if (loop.state.trees.settings.is_enabled)
+    {
+        observe_limit(
+            *loop.state.observer, service_id_of(loop.upstream.record.service),
+            usable_limit_of(loop.gate));
+    }
     if (control_due(loop.state) <= now())
     {
         tick(loop);
--- a/src/adapters/local_gate.cpp
+++ b/src/adapters/local_gate.cpp
@@ -201,6 +201,9 @@
             request->record->child_wait.total(now()));
     }
     --gate->running;
+    observe_end(
+        gate->services.path.trees, entry_id,
+        ended.result == gate_result::replied && !ended.is_error, now());
     record_request_end(*gate, *work, endpoint, connection, ended);
     apply_decisions(*gate, decisions);
 }
@@ -208,6 +211,9 @@
 void start(local_gate& gate, const exchange_ptr& work, gate_entry_id entry_id)
 {
     ++gate.running;
+    observe_start(
+        gate.services.path.trees, entry_id, work->context.route,
+        work->context.depth > 0, work->context.deadline, now());
     record(gate, event_kind::gate_started, *work, {});
     auto connection = take_connection(
         gate.pool, work->body.get_executor(),
@@ -221,6 +227,12 @@
 
 void refuse(local_gate& gate, const exchange_ptr& work, refusal reason)
 {
+    const bool lacks_capacity =
+        reason == refusal::overloaded || reason == refusal::deadline_exceeded;
+    if (work->context.depth > 0 && lacks_capacity)
+    {
+        observe_refused_call(gate.services.path.trees);
+    }
     const load_report load = report_of(gate);
     const auto cold = cold_rate_of(gate);
     record(
@@ -396,6 +408,12 @@
     return gate_report(gate.gate, now());
 }
 
+std::uint32_t usable_limit_of(local_gate& gate)
+{
+    const std::scoped_lock lock(gate.mutex);
+    return gate_accepts(gate.gate) ? gate_report(gate.gate, now()).limit : 0;
+}
+
 std::optional<double> cold_rate_of(local_gate& gate)
 {
     const std::scoped_lock lock(gate.mutex);
--- a/src/adapters/local_gate.hpp
+++ b/src/adapters/local_gate.hpp
@@ -79,6 +79,9 @@
 
 [[nodiscard]] load_report report_of(local_gate& gate);
 
+// The requests that the upstream may run at once; zero while it accepts none.
+[[nodiscard]] std::uint32_t usable_limit_of(local_gate& gate);
+
 // The requests a second that the upstream takes while it is cold; nothing if it
 // is not cold or not limited.
 [[nodiscard]] std::optional<double> cold_rate_of(local_gate& gate);
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -242,6 +242,9 @@
                  i < regions.size() ? regions[i] : "", 1.0});
         }
     }
+    settings.trees.is_enabled = node.settings.overload.has_tree_budgets != 0;
+    settings.trees.self = node.services.self;
+    settings.trees.data_centre = data_centre;
     settings.rates.self = node.services.self;
     settings.rates.data_centre = data_centre;
     settings.rates.term = node.settings.rates.term;
@@ -590,6 +593,12 @@
         settings.upstream.reserved_for_calls / 100.0,
         settings.upstream.has_exact_slots != 0,
         {settings.upstream.cold_overage, settings.upstream.cold_slack}};
+    node->services.path.trees.is_enabled =
+        settings.overload.has_tree_budgets != 0;
+    node->services.path.tree_budget.is_enabled =
+        node->services.path.trees.is_enabled;
+    node->control.state.observer = &node->services.path.trees;
+    node->control.state.tree_budget = &node->services.path.tree_budget;
     node->control.fleet_retry_slack = settings.retries.fleet_slack;
     node->control.has_cold_bounds = settings.upstream.cold_overage > 1.0 ||
                                     settings.upstream.cold_slack > 0.0;
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -96,6 +96,13 @@
     double cold_slack = 0.0;
 };
 
+struct overload_settings
+{
+    // 1 if root requests are admitted by what their call trees take in the
+    // services below, as the fleet counts it.
+    std::uint32_t has_tree_budgets = 0;
+};
+
 struct retry_settings
 {
     // Retries that the whole fleet may save up for one service, beyond a tenth
@@ -155,6 +162,7 @@
     rate_settings rates;
     claim_settings claims;
     upstream_settings upstream;
+    overload_settings overload;
     retry_settings retries;
     log_settings log;
     // Capacity of the event ring for the time line, in events.
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -185,6 +185,12 @@
         "/upstream/cold_slack", CYCLAMEN_MEMBER(upstream.cold_slack), optional,
         0, 1'000'000, "requests",
         "As `cold_overage`, but a number of requests in addition."},
+    setting_entry{
+        "/overload/tree_budgets", CYCLAMEN_MEMBER(overload.has_tree_budgets),
+        optional, 0, 1, "",
+        "1 if root requests are admitted only where their whole call trees "
+        "fit into the services below; hosts then report runs and calls to "
+        "each other."},
     setting_entry{
         "/retries/fleet_slack", CYCLAMEN_MEMBER(retries.fleet_slack), optional,
         0, 1'000'000, "requests",
--- a/src/core/base/ids.cpp
+++ b/src/core/base/ids.cpp
@@ -27,6 +27,13 @@
     return error == std::errc() && position == end;
 }
 
+// Never 0, which means "none".
+std::uint32_t short_hash(std::string_view name)
+{
+    const auto folded = static_cast<std::uint32_t>(hash_name(name) >> 32);
+    return folded == 0 ? 1 : folded;
+}
+
 } // namespace
 
 workspace_id workspace_id_of(std::string_view name)
@@ -41,14 +48,17 @@
 
 data_centre_id data_centre_id_of(std::string_view name)
 {
-    const auto folded = static_cast<std::uint32_t>(hash_name(name) >> 32);
-    return static_cast<data_centre_id>(folded == 0 ? 1 : folded);
+    return static_cast<data_centre_id>(short_hash(name));
 }
 
 region_id region_id_of(std::string_view name)
 {
-    const auto folded = static_cast<std::uint32_t>(hash_name(name) >> 32);
-    return static_cast<region_id>(folded == 0 ? 1 : folded);
+    return static_cast<region_id>(short_hash(name));
+}
+
+route_id route_id_of(std::string_view name)
+{
+    return static_cast<route_id>(short_hash(name));
 }
 
 std::optional<host_id> parse_host_id(std::string_view text)
--- a/src/core/base/ids.hpp
+++ b/src/core/base/ids.hpp
@@ -36,6 +36,11 @@
     none = 0
 };
 
+enum class route_id : std::uint32_t
+{
+    none = 0
+};
+
 enum class region_id : std::uint32_t
 {
     none = 0
@@ -58,6 +63,7 @@
 [[nodiscard]] service_id service_id_of(std::string_view name);
 [[nodiscard]] data_centre_id data_centre_id_of(std::string_view name);
 [[nodiscard]] region_id region_id_of(std::string_view name);
+[[nodiscard]] route_id route_id_of(std::string_view name);
 
 // The host_id of an IPv4 address in host byte order and a port.
 [[nodiscard]] constexpr host_id
--- a/src/core/base/request_context.hpp
+++ b/src/core/base/request_context.hpp
@@ -53,6 +53,8 @@
     trace_id trace;
     workspace_id workspace = workspace_id::none;
     service_id service = service_id::none;
+    // None from a node that does not send it.
+    route_id route = route_id::none;
     priority_class priority = priority_class::normal;
     // In [0, admission_slot_count).
     std::uint16_t slot = 0;
--- a/src/core/gate/gate.cpp
+++ b/src/core/gate/gate.cpp
@@ -375,6 +375,11 @@
     return decisions;
 }
 
+bool gate_accepts(const gate_state& gate)
+{
+    return is_accepting(gate);
+}
+
 load_report gate_report(const gate_state& gate, time_point now)
 {
     load_report report;
--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -129,6 +129,9 @@
 // while requests are queued or running.
 [[nodiscard]] gate_decisions gate_tick(gate_state& gate, time_point now);
 
+// Whether requests are started or queued at all.
+[[nodiscard]] bool gate_accepts(const gate_state& gate);
+
 // The load report that is sent with replies.
 [[nodiscard]] load_report gate_report(const gate_state& gate, time_point now);
 
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -58,6 +58,16 @@
     actions.events.push_back(std::move(new_event));
 }
 
+bool has_tree_budgets(const control_state& state)
+{
+    return state.observer != nullptr && state.tree_budget != nullptr;
+}
+
+trees_inputs inputs_of_trees(control_state& state)
+{
+    return {state.membership, *state.observer, *state.tree_budget};
+}
+
 } // namespace
 
 void control_start(
@@ -85,6 +95,7 @@
     quarantine_settings quarantine;
     quarantine.self = settings.membership.self;
     quarantine_start(state.quarantine, quarantine);
+    trees_start(state.trees, settings.trees, now, random);
 }
 
 void control_tick(
@@ -105,6 +116,10 @@
         chain_tick(state.chain, state.membership, now, random, actions);
     }
     update_evacuations(state, now, actions);
+    if (has_tree_budgets(state))
+    {
+        trees_tick(state.trees, inputs_of_trees(state), now, actions);
+    }
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
     claims_tick(state.claims, inputs_of_claims(state), now, random, actions);
     quarantine_tick(
@@ -145,6 +160,13 @@
         quarantine_on_message(
             state.quarantine, state.membership, message, now, random, actions);
         return;
+    case message_kind::trees:
+        if (has_tree_budgets(state))
+        {
+            trees_on_message(
+                state.trees, inputs_of_trees(state), message, now, actions);
+        }
+        return;
     }
 }
 
@@ -189,7 +211,8 @@
     return std::min(
         {membership_due(state.membership), configuration_due,
          rates_due(state.rates), claims_due(state.claims),
-         quarantine_due(state.quarantine)});
+         quarantine_due(state.quarantine),
+         has_tree_budgets(state) ? trees_due(state.trees) : time_point::max()});
 }
 
 bool control_may_serve(control_state& state, time_point now)
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -8,6 +8,7 @@
 #include "core/membership/membership.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/rates/rates.hpp"
+#include "core/trees/trees.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -24,6 +25,7 @@
     document_settings document;
     rates_settings rates;
     claims_settings claims;
+    trees_settings trees;
 };
 
 // The control state of one node. The rate_limiter is shared with the request
@@ -37,7 +39,11 @@
     rates_state rates;
     claims_state claims;
     quarantine_state quarantine;
+    trees_state trees;
     rate_limiter* limiter = nullptr;
+    // Null if call trees have no budgets.
+    tree_observer* observer = nullptr;
+    tree_admission* tree_budget = nullptr;
     std::uint64_t wall_clock_ms = 0;
     // When this node first had a configuration; zero if it has none.
     time_point configured_at{};
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -162,9 +162,41 @@
     return refuse(refusal::retry_budget_exhausted, outcome::not_run, 1s);
 }
 
+// Refuses a root request whose tree does not fit into the services below its
+// route.
+std::optional<call_step> refuse_beyond_budget(
+    request_path& path, const call_state& call, time_point now,
+    random_source& random)
+{
+    if (call.context.depth > 0)
+    {
+        return std::nullopt;
+    }
+    const tree_key key{call.context.route, call.context.priority};
+    observe_arrival(path.trees, key);
+    // Callers who come back have waited longest.
+    const std::uint16_t slot =
+        call.is_resend ? call.context.slot / 2 : call.context.slot;
+    if (admit_tree(path.tree_budget, key, slot, now, random) !=
+        tree_verdict::refused)
+    {
+        return std::nullopt;
+    }
+    return refuse(
+        refusal::overloaded, outcome::not_run, retry_delay(path, random),
+        "route " + call.route + ", " +
+            describe_admission(path.tree_budget, key));
+}
+
 call_step continue_after_token(
     request_path& path, call_state& call, time_point now, random_source& random)
 {
+    if (auto refused = refuse_beyond_budget(path, call, now, random))
+    {
+        // It says nothing about the services below.
+        call.ended_without_load_signal = true;
+        return *std::move(refused);
+    }
     if (!call.needs_claim)
     {
         return next_attempt(path, call, now, random);
@@ -363,6 +395,12 @@
     fill_context(path, call, request, *route, workspace, now, random);
     apply_workspace(*tables, call);
     call.route = route->settings.name;
+    if (path.treats_keyless_as_calls && call.context.depth > 0)
+    {
+        observe_call(
+            path.trees, call.context.route,
+            request.timeout ? now + *request.timeout : call.context.deadline);
+    }
     call.needs_claim =
         call.context.never_repeat && !request.idempotency_key.empty();
     if (is_quarantined(*path.quarantine.read(), call.context.digest))
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -17,6 +17,8 @@
 #include "core/retries/allowance.hpp"
 #include "core/retries/retry_budget.hpp"
 #include "core/routing/routing.hpp"
+#include "core/trees/tree_admission.hpp"
+#include "core/trees/tree_observer.hpp"
 #include "ports/events.hpp"
 
 #include <cstdint>
@@ -45,6 +47,9 @@
     route_levels levels;
     // Used where replies carry no load reports of the services below.
     route_throttle throttle;
+    // The counts of call trees here, and what the fleet admits of them.
+    tree_observer trees;
+    tree_admission tree_budget;
     // Upstreams make their child calls without a key or a call handle, so a
     // request without a key is treated as a child call.
     bool treats_keyless_as_calls = false;
--- a/src/core/request/call_context.cpp
+++ b/src/core/request/call_context.cpp
@@ -35,6 +35,7 @@
     context.idempotency_key = request.idempotency_key;
     context.digest = digest_of(request, workspace);
     context.regions = route.regions;
+    context.route = route.id;
     const auto limit = std::chrono::milliseconds(settings.deadline);
     context.deadline = now + std::min(limit, request.timeout.value_or(limit));
     if (request.parent)
--- a/src/core/request/request_tables.cpp
+++ b/src/core/request/request_tables.cpp
@@ -39,6 +39,7 @@
     route_entry entry{
         settings,
         service_id_of(settings.service),
+        route_id_of(settings.name),
         {},
         limit_to(settings.regions)};
     double sum = 0.0;
--- a/src/core/request/request_tables.hpp
+++ b/src/core/request/request_tables.hpp
@@ -20,6 +20,7 @@
 {
     route settings;
     service_id service = service_id::none;
+    route_id id = route_id::none;
     // The services of a traffic split, with their cumulative weights.
     std::vector<std::pair<double, service_id>> split;
     region_limit regions;
--- /dev/null
+++ b/src/core/trees/tree_totals.cpp
@@ -0,0 +1,124 @@
+#include "core/trees/tree_totals.hpp"
+
+#include <set>
+#include <vector>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+// Runs of one route at one service, and their part of all runs of the route.
+struct route_part
+{
+    service_id service = service_id::none;
+    double share = 0.0;
+    const run_totals* totals = nullptr;
+};
+
+using route_parts = std::map<route_id, std::vector<route_part>>;
+
+route_parts parts_of(const tree_totals& totals)
+{
+    std::map<route_id, double> runs;
+    for (const auto& [key, entry] : totals.runs)
+    {
+        runs[key.first] += entry.runs;
+    }
+    route_parts parts;
+    for (const auto& [key, entry] : totals.runs)
+    {
+        const auto& [route, service] = key;
+        if (entry.runs > 0.0)
+        {
+            parts[route].push_back({service, entry.runs / runs[route], &entry});
+        }
+    }
+    return parts;
+}
+
+struct cost_reader
+{
+    const route_parts& parts;
+    std::map<route_id, tree_cost> costs;
+    // The routes above the present one. A route that calls itself is counted
+    // once.
+    std::set<route_id> above;
+};
+
+const tree_cost& read_cost(cost_reader& reader, route_id route);
+
+void add_calls(cost_reader& reader, const route_part& part, tree_cost& cost)
+{
+    for (const auto& [called, calls] : part.totals->calls)
+    {
+        if (reader.above.contains(called) || !reader.parts.contains(called))
+        {
+            continue;
+        }
+        const double per_run = part.share * calls / part.totals->runs;
+        for (const auto& [service, seconds] : read_cost(reader, called))
+        {
+            cost[service] += per_run * seconds;
+        }
+    }
+}
+
+const tree_cost& read_cost(cost_reader& reader, route_id route)
+{
+    if (const auto known = reader.costs.find(route);
+        known != reader.costs.end())
+    {
+        return known->second;
+    }
+    tree_cost cost;
+    reader.above.insert(route);
+    for (const auto& part : reader.parts.at(route))
+    {
+        cost[part.service] +=
+            part.share * part.totals->slot_seconds / part.totals->runs;
+        add_calls(reader, part, cost);
+    }
+    reader.above.erase(route);
+    return reader.costs[route] = std::move(cost);
+}
+
+} // namespace
+
+void add(tree_totals& sum, const tree_totals& part)
+{
+    for (const auto& [key, entry] : part.runs)
+    {
+        run_totals& total = sum.runs[key];
+        total.runs += entry.runs;
+        total.slot_seconds += entry.slot_seconds;
+        for (const auto& [route, calls] : entry.calls)
+        {
+            total.calls[route] += calls;
+        }
+    }
+    for (const auto& [service, entry] : part.services)
+    {
+        service_totals& total = sum.services[service];
+        total.limit += entry.limit;
+        total.started_calls += entry.started_calls;
+        total.refused_calls += entry.refused_calls;
+    }
+    for (const auto& [key, per_second] : part.demand)
+    {
+        sum.demand[key] += per_second;
+    }
+}
+
+std::map<route_id, tree_cost> costs_of(const tree_totals& totals)
+{
+    const route_parts parts = parts_of(totals);
+    cost_reader reader{parts, {}, {}};
+    for (const auto& [route, list] : parts)
+    {
+        (void)read_cost(reader, route);
+    }
+    return std::move(reader.costs);
+}
+
+} // namespace cyclamenhold
--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -54,13 +54,14 @@
     bad_input,
     platform_unavailable,
     platform_available,
-    evacuation_changed
+    evacuation_changed,
+    trees_limited
 };
 
 template <>
 struct enum_names<event_kind>
 {
-    static constexpr std::array<std::pair<event_kind, std::string_view>, 41>
+    static constexpr std::array<std::pair<event_kind, std::string_view>, 42>
         table{
             {{event_kind::node_started, "node-started"},
              {event_kind::node_stopping, "node-stopping"},
@@ -102,7 +103,8 @@
              {event_kind::bad_input, "bad-input"},
              {event_kind::platform_unavailable, "platform-unavailable"},
              {event_kind::platform_available, "platform-available"},
-             {event_kind::evacuation_changed, "evacuation-changed"}}};
+             {event_kind::evacuation_changed, "evacuation-changed"},
+             {event_kind::trees_limited, "trees-limited"}}};
 };
 
 // An event before the node adds its time and its host_id.
--- a/src/ports/messages.hpp
+++ b/src/ports/messages.hpp
@@ -22,19 +22,21 @@
     configuration = 2,
     rates = 3,
     claims = 4,
-    quarantine = 5
+    quarantine = 5,
+    trees = 6
 };
 
 template <>
 struct enum_names<message_kind>
 {
-    static constexpr std::array<std::pair<message_kind, std::string_view>, 5>
+    static constexpr std::array<std::pair<message_kind, std::string_view>, 6>
         table{
             {{message_kind::membership, "membership"},
              {message_kind::configuration, "configuration"},
              {message_kind::rates, "rates"},
              {message_kind::claims, "claims"},
-             {message_kind::quarantine, "quarantine"}}};
+             {message_kind::quarantine, "quarantine"},
+             {message_kind::trees, "trees"}}};
 };
 
 // Datagrams can be lost, duplicated and reordered, and hold at most
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -202,6 +202,7 @@
     open.add_headers(headers);
     open.add_body_size(pack_size(head.body_size));
     open.add_target_incarnation(target_incarnation);
+    open.add_route(static_cast<std::uint32_t>(context.route));
     append_frame(out, fbb, wire::frame_body::open_stream, open.Finish(), clock);
 }
 
@@ -331,6 +332,7 @@
     context.trace = {open.trace_high(), open.trace_low()};
     context.workspace = static_cast<workspace_id>(open.workspace());
     context.service = static_cast<service_id>(open.service());
+    context.route = static_cast<route_id>(open.route());
     context.priority = unpack_priority(open.priority());
     context.slot =
         std::min<std::uint16_t>(open.slot(), admission_slot_count - 1);
