--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -172,7 +172,8 @@
     {
         return std::nullopt;
     }
-    const tree_key key{call.context.route, call.context.priority};
+    const tree_key key{
+        call.context.route, call.context.service, call.context.priority};
     observe_arrival(path.trees, key);
     // Callers who come back have waited longest.
     const std::uint16_t slot =
--- a/src/core/trees/tree_allotment.cpp
+++ b/src/core/trees/tree_allotment.cpp
@@ -136,15 +136,14 @@
 } // namespace
 
 std::map<tree_key, tree_allotment> allot_trees(
-    const std::map<tree_key, double>& demand,
-    const std::map<route_id, tree_cost>& costs,
+    const std::map<tree_key, double>& demand, const tree_costs& costs,
     const std::map<service_id, double>& capacity)
 {
     static const tree_cost no_cost;
     std::vector<allotted_row> rows;
     for (const auto& [key, per_second] : demand)
     {
-        const auto cost = costs.find(key.route);
+        const auto cost = costs.find({key.route, key.service});
         rows.push_back(
             {key, per_second, cost == costs.end() ? &no_cost : &cost->second});
     }
--- a/src/core/trees/tree_allotment.hpp
+++ b/src/core/trees/tree_allotment.hpp
@@ -23,8 +23,7 @@
 // `capacity` holds the slots that each service may use. A service without an
 // entry is not limited, and a route without a cost is admitted.
 [[nodiscard]] std::map<tree_key, tree_allotment> allot_trees(
-    const std::map<tree_key, double>& demand,
-    const std::map<route_id, tree_cost>& costs,
+    const std::map<tree_key, double>& demand, const tree_costs& costs,
     const std::map<service_id, double>& capacity);
 
 } // namespace cyclamenhold
--- a/src/core/trees/tree_collector.cpp
+++ b/src/core/trees/tree_collector.cpp
@@ -194,7 +194,12 @@
     std::map<service_id, double> capacity;
     for (const auto& [service, entry] : totals.services)
     {
-        capacity[service] = entry.limit * collector.usable[service];
+        // A service without upstreams may be one that few requests call. The
+        // throttle of the route reacts to its failures.
+        if (entry.limit >= 1.0)
+        {
+            capacity[service] = entry.limit * collector.usable[service];
+        }
     }
     collector.allotments =
         allot_trees(totals.demand, costs_of(totals), capacity);
--- a/src/core/trees/tree_counts.hpp
+++ b/src/core/trees/tree_counts.hpp
@@ -12,10 +12,12 @@
 namespace cyclamenhold
 {
 
-// Root requests are admitted by their route and class.
+// Root requests are admitted by their route, the service that was drawn for
+// them and their class.
 struct tree_key
 {
     route_id route = route_id::none;
+    service_id service = service_id::none;
     priority_class priority = priority_class::normal;
     auto operator<=>(const tree_key&) const = default;
 };
--- a/src/core/trees/tree_messages.cpp
+++ b/src/core/trees/tree_messages.cpp
@@ -25,14 +25,16 @@
     return std::isfinite(value) && value >= 0.0;
 }
 
-std::optional<tree_key> read_key(std::uint32_t route, std::uint8_t priority)
+std::optional<tree_key>
+read_key(std::uint32_t route, std::uint64_t service, std::uint8_t priority)
 {
     if (route == 0 || priority >= priority_class_count)
     {
         return std::nullopt;
     }
     return tree_key{
-        static_cast<route_id>(route), static_cast<priority_class>(priority)};
+        static_cast<route_id>(route), static_cast<service_id>(service),
+        static_cast<priority_class>(priority)};
 }
 
 schema::host_report_data body_of(const tree_report& message)
@@ -60,8 +62,8 @@
     for (const auto& [key, arrivals] : counts.arrivals)
     {
         body.arrivals.emplace_back(
-            to_wire(key.route), static_cast<std::uint8_t>(key.priority),
-            arrivals);
+            static_cast<std::uint64_t>(key.service), to_wire(key.route),
+            static_cast<std::uint8_t>(key.priority), arrivals);
     }
     return body;
 }
@@ -73,7 +75,8 @@
     for (const auto& [key, allotment] : message.allotments)
     {
         body.rows.emplace_back(
-            to_wire(key.route), static_cast<std::uint8_t>(key.priority),
+            static_cast<std::uint64_t>(key.service), to_wire(key.route),
+            static_cast<std::uint8_t>(key.priority),
             static_cast<float>(allotment.share),
             std::isfinite(allotment.headroom)
                 ? static_cast<float>(allotment.headroom)
@@ -109,7 +112,8 @@
     for (const auto& [key, per_second] : message.demand)
     {
         body.demand.emplace_back(
-            to_wire(key.route), static_cast<std::uint8_t>(key.priority),
+            static_cast<std::uint64_t>(key.service), to_wire(key.route),
+            static_cast<std::uint8_t>(key.priority),
             static_cast<float>(per_second));
     }
     return body;
@@ -137,7 +141,7 @@
     }
     for (const auto& row : body.arrivals)
     {
-        const auto key = read_key(row.route(), row.priority());
+        const auto key = read_key(row.route(), row.service(), row.priority());
         if (!key)
         {
             return std::nullopt;
@@ -153,7 +157,7 @@
     message.report = body.report;
     for (const auto& row : body.rows)
     {
-        const auto key = read_key(row.route(), row.priority());
+        const auto key = read_key(row.route(), row.service(), row.priority());
         if (!key || !is_count(row.share()) || !is_count(row.headroom()))
         {
             return std::nullopt;
@@ -201,7 +205,7 @@
     }
     for (const auto& row : body.demand)
     {
-        const auto key = read_key(row.route(), row.priority());
+        const auto key = read_key(row.route(), row.service(), row.priority());
         if (!key || !is_count(row.per_second()))
         {
             return std::nullopt;
--- a/src/core/trees/tree_totals.cpp
+++ b/src/core/trees/tree_totals.cpp
@@ -48,15 +48,19 @@
 
 const tree_cost& read_cost(cost_reader& reader, route_id route);
 
-void add_calls(cost_reader& reader, const route_part& part, tree_cost& cost)
+// Adds the cost of a run at one service, times `weight`.
+void add_part(
+    cost_reader& reader, const route_part& part, double weight, tree_cost& cost)
 {
+    cost[part.service] +=
+        weight * part.totals->slot_seconds / part.totals->runs;
     for (const auto& [called, calls] : part.totals->calls)
     {
         if (reader.above.contains(called) || !reader.parts.contains(called))
         {
             continue;
         }
-        const double per_run = part.share * calls / part.totals->runs;
+        const double per_run = weight * calls / part.totals->runs;
         for (const auto& [service, seconds] : read_cost(reader, called))
         {
             cost[service] += per_run * seconds;
@@ -75,9 +79,7 @@
     reader.above.insert(route);
     for (const auto& part : reader.parts.at(route))
     {
-        cost[part.service] +=
-            part.share * part.totals->slot_seconds / part.totals->runs;
-        add_calls(reader, part, cost);
+        add_part(reader, part, part.share, cost);
     }
     reader.above.erase(route);
     return reader.costs[route] = std::move(cost);
@@ -110,15 +112,20 @@
     }
 }
 
-std::map<route_id, tree_cost> costs_of(const tree_totals& totals)
+tree_costs costs_of(const tree_totals& totals)
 {
     const route_parts parts = parts_of(totals);
     cost_reader reader{parts, {}, {}};
+    tree_costs costs;
     for (const auto& [route, list] : parts)
     {
-        (void)read_cost(reader, route);
+        reader.above = {route};
+        for (const auto& part : list)
+        {
+            add_part(reader, part, 1.0, costs[{route, part.service}]);
+        }
     }
-    return std::move(reader.costs);
+    return costs;
 }
 
 } // namespace cyclamenhold
--- a/src/core/trees/tree_totals.hpp
+++ b/src/core/trees/tree_totals.hpp
@@ -43,8 +43,12 @@
 // slots for one second.
 using tree_cost = std::map<service_id, double>;
 
-// The cost of one request of each route, with all calls below it. Routes whose
-// runs are not known have no entry; calls of such routes cost nothing.
-[[nodiscard]] std::map<route_id, tree_cost> costs_of(const tree_totals& totals);
+// The costs of root requests, by route and service.
+using tree_costs = std::map<std::pair<route_id, service_id>, tree_cost>;
+
+// The cost of one request of each route at each of its services, with all calls
+// below it. Requests whose runs are not known have no entry; calls of such
+// routes cost nothing.
+[[nodiscard]] tree_costs costs_of(const tree_totals& totals);
 
 } // namespace cyclamenhold
