--- a/src/ports/events.hpp
+++ b/src/ports/events.hpp
@@ -55,13 +55,14 @@
     platform_unavailable,
     platform_available,
     evacuation_changed,
-    platform_rewound
+    platform_rewound,
+    trees_limited
 };
 
 template <>
 struct enum_names<event_kind>
 {
-    static constexpr std::array<std::pair<event_kind, std::string_view>, 42>
+    static constexpr std::array<std::pair<event_kind, std::string_view>, 43>
         table{
             {{event_kind::node_started, "node-started"},
              {event_kind::node_stopping, "node-stopping"},
@@ -104,7 +105,8 @@
              {event_kind::platform_unavailable, "platform-unavailable"},
              {event_kind::platform_available, "platform-available"},
              {event_kind::evacuation_changed, "evacuation-changed"},
-             {event_kind::platform_rewound, "platform-rewound"}}};
+             {event_kind::platform_rewound, "platform-rewound"},
+             {event_kind::trees_limited, "trees-limited"}}};
 };
 
 // An event before the node adds its time and its host_id.
