--- a/src/core/configuration/document_calls.cpp
+++ b/src/core/configuration/document_calls.cpp
@@ -34,13 +34,25 @@
            from_seconds(to_seconds(bound / 2) * random_fraction(random));
 }
 
+duration watch_time_of(const document_state& state, bool is_long_watch)
+{
+    if (!is_long_watch || !state.watchers.is_watcher)
+    {
+        return recheck_time;
+    }
+    return state.watchers.has_followers
+               ? std::min(watcher_watch_time, state.settings.watch_time)
+               : state.settings.watch_time;
+}
+
 } // namespace
 
 void start_document_call(
     document_state& state, time_point now, control_actions& actions)
 {
     const bool lists_evacuations = !state.settings.evacuation_prefix.empty();
-    state.is_list = lists_evacuations && state.listed_revision == 0;
+    state.is_list = state.listed_revision == 0 &&
+                    (lists_evacuations || state.is_document_absent);
     state.is_watch = !state.is_list && state.platform_revision != 0;
     const bool is_long_watch = state.is_watch && state.failures == 0;
     platform_call call;
@@ -49,16 +61,17 @@
     call.operation = state.is_list    ? platform_operation::list
                      : state.is_watch ? platform_operation::watch
                                       : platform_operation::get;
-    call.key = state.is_list ? state.settings.evacuation_prefix
-               : state.is_watch && lists_evacuations
-                   ? state.settings.operator_prefix
-                   : state.settings.key;
+    call.key =
+        state.is_list ? (lists_evacuations ? state.settings.evacuation_prefix
+                                           : state.settings.key)
+        : state.is_watch && lists_evacuations ? state.settings.operator_prefix
+                                              : state.settings.key;
     call.timeout =
         is_long_watch ? watch_grace + state.answer_delay : read_timeout(state);
     if (state.is_watch)
     {
         call.expected_version = state.platform_revision;
-        call.wait = is_long_watch ? state.settings.watch_time : recheck_time;
+        call.wait = watch_time_of(state, is_long_watch);
     }
     state.call_id = call.call_id;
     state.call_started_at = now;
--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -166,6 +166,28 @@
     return chain.current->revision != 0;
 }
 
+// Watches for the first document, from the revision of a list: a read that
+// finds nothing has no revision. A document that can't be parsed is read again.
+void await_document(
+    document_state& state, const platform_reply& reply, time_point now,
+    control_actions& actions)
+{
+    const bool is_empty =
+        reply.status == platform_status::not_found || reply.entries.empty();
+    state.is_document_absent =
+        is_empty && (!state.is_watch || state.is_document_absent);
+    if (!state.is_document_absent)
+    {
+        state.platform_revision = 0;
+        state.next_call_at = now + shortest_document_backoff;
+        return;
+    }
+    state.platform_revision = std::max(
+        state.platform_revision,
+        state.is_watch ? reply.revision : state.listed_revision);
+    start_document_call(state, now, actions);
+}
+
 // Applies a list of the evacuations and reads the document next.
 void apply_list(
     document_state& state, const platform_reply& reply, time_point now,
@@ -178,13 +200,41 @@
         new_event.detail = "the list of evacuations has more than one page";
         actions.events.push_back(std::move(new_event));
     }
-    apply_evacuation_entries(
-        state.evacuations, state.settings.evacuation_prefix, reply.entries,
-        reply.era, reply.revision, now);
+    if (!state.settings.evacuation_prefix.empty())
+    {
+        apply_evacuation_entries(
+            state.evacuations, state.settings.evacuation_prefix, reply.entries,
+            reply.era, reply.revision, now);
+    }
     state.listed_revision = std::max<std::uint64_t>(reply.revision, 1);
+    const bool has_document = std::ranges::any_of(
+        reply.entries,
+        [&state](const platform_entry& entry)
+        {
+            return entry.key == state.settings.key;
+        });
+    if (state.is_document_absent && !has_document)
+    {
+        state.platform_revision = state.listed_revision;
+    }
     start_document_call(state, now, actions);
 }
 
+// Starts the next call, or checks again later if this node follows watchers.
+void continue_calls(
+    document_state& state, const chain_state& chain,
+    const membership_state& members, time_point now, control_actions& actions)
+{
+    constexpr duration check_interval = 100ms;
+    if (must_call_platform(
+            state.watchers, chain, members, state.behind_since, now))
+    {
+        start_document_call(state, now, actions);
+        return;
+    }
+    state.next_call_at = now + check_interval;
+}
+
 void send(host_id to, const chain_message& message, control_actions& actions)
 {
     actions.messages.push_back(
@@ -205,7 +255,9 @@
     {
         state.behind_since = now;
     }
-    if (now < state.behind_since + pull_delay || now < state.pull.expires_at)
+    const bool is_follower = !state.watchers.is_watcher;
+    const duration delay = is_follower ? duration::zero() : pull_delay;
+    if (now < state.behind_since + delay || now < state.pull.expires_at)
     {
         return;
     }
@@ -288,11 +340,12 @@
         platform_reply lost;
         lost.call_id = state.call_id;
         lost.status = platform_status::unavailable;
-        document_on_platform_reply(state, chain, lost, now, random, actions);
+        document_on_platform_reply(
+            state, chain, members, lost, now, random, actions);
     }
     if (state.call_id == 0 && now >= state.next_call_at)
     {
-        start_document_call(state, now, actions);
+        continue_calls(state, chain, members, now, actions);
     }
     pull_if_behind(state, chain, members, now, actions);
 }
@@ -323,8 +376,9 @@
 }
 
 void document_on_platform_reply(
-    document_state& state, chain_state& chain, const platform_reply& reply,
-    time_point now, random_source& random, control_actions& actions)
+    document_state& state, chain_state& chain, const membership_state& members,
+    const platform_reply& reply, time_point now, random_source& random,
+    control_actions& actions)
 {
     if (reply.call_id != state.call_id)
     {
@@ -365,10 +419,10 @@
     }
     if (!apply_entries(state, chain, reply, now, actions))
     {
-        // No document exists yet, or none that can be parsed.
-        state.next_call_at = now + shortest_document_backoff;
+        await_document(state, reply, now, actions);
         return;
     }
+    state.is_document_absent = false;
     state.next_call_at = now;
     chain.platform_read_at =
         std::max(chain.platform_read_at, confirmed_at(state, reply, now));
@@ -377,7 +431,7 @@
         state.is_watch || state.listed_revision == 0 ? reply.revision
                                                      : state.listed_revision;
     state.platform_revision = std::max(state.platform_revision, known_revision);
-    start_document_call(state, now, actions);
+    continue_calls(state, chain, members, now, actions);
 }
 
 time_point document_due(const document_state& state)
@@ -397,6 +451,15 @@
     state.next_call_at = now;
 }
 
+void document_exchange(
+    document_state& state, chain_state& chain, membership_state& members,
+    time_point now, random_source& random, control_actions& actions)
+{
+    publish_to_membership(chain, members);
+    record_proof(chain, members);
+    exchange_proofs(state.watchers, members, now, random, actions);
+}
+
 void exchange_evacuations(
     document_state& state, membership_state& members, time_point now)
 {
--- a/src/core/configuration/document_source.hpp
+++ b/src/core/configuration/document_source.hpp
@@ -1,10 +1,11 @@
 // The operators' configuration as one document in the platform; each version
-// replaces the previous one. Every node watches the document. A node that the
-// platform refuses receives it from peers. An older version is never applied.
-// Runs on the control thread only.
+// replaces the previous one. Nodes watch it, or receive it from those that do
+// (document_watchers.hpp). A node that the platform refuses receives it from
+// peers. An older version is never applied. Runs on the control thread only.
 #pragma once
 
 #include "core/configuration/chain.hpp"
+#include "core/configuration/document_watchers.hpp"
 #include "core/placement/evacuations.hpp"
 
 #include <absl/status/statusor.h>
@@ -64,9 +65,13 @@
     // The revision of the last list of evacuations; zero if they must be
     // listed.
     std::uint64_t listed_revision = 0;
+    // The platform has no document yet. It is watched from the revision of a
+    // list.
+    bool is_document_absent = false;
     // The platform's era; zero if it names none.
     std::uint64_t era = 0;
     evacuation_state evacuations;
+    document_watchers watchers;
     // The platform's revision of the last document that failed to parse.
     std::uint64_t rejected_version = 0;
     bool is_platform_available = true;
@@ -87,8 +92,9 @@
     document_state& state, chain_state& chain, const incoming_message& message,
     time_point now, control_actions& actions);
 void document_on_platform_reply(
-    document_state& state, chain_state& chain, const platform_reply& reply,
-    time_point now, random_source& random, control_actions& actions);
+    document_state& state, chain_state& chain, const membership_state& members,
+    const platform_reply& reply, time_point now, random_source& random,
+    control_actions& actions);
 [[nodiscard]] time_point document_due(const document_state& state);
 
 // The platform has begun a new era: it returned from an older copy and gives
@@ -96,6 +102,12 @@
 void document_begin_era(
     document_state& state, std::uint64_t era, time_point now);
 
+// Exchanges proofs of freshness and news with the other nodes of the data
+// centre.
+void document_exchange(
+    document_state& state, chain_state& chain, membership_state& members,
+    time_point now, random_source& random, control_actions& actions);
+
 // Exchanges the newest list of evacuations with the membership, which passes it
 // on to other members.
 void exchange_evacuations(
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -300,6 +300,22 @@
     handle_seed_reply(state, reply, now, random, actions);
 }
 
+void membership_ping(
+    membership_state& state, host_id host, time_point now,
+    control_actions& actions)
+{
+    send_ping(state, host, state.next_sequence++, now, actions);
+}
+
+void membership_notify(
+    membership_state& state, host_id host, time_point now,
+    control_actions& actions)
+{
+    send_message(
+        host, make_message(state, message_body::gossip, now),
+        transport::datagram, actions);
+}
+
 void membership_begin_era(
     membership_state& state, time_point now, random_source& random)
 {
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -240,6 +240,16 @@
     membership_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions);
 
+// Pings a member in addition to the regular probes. Its ack merges what it
+// knows.
+void membership_ping(
+    membership_state& state, host_id host, time_point now,
+    control_actions& actions);
+// Sends a member this node's revision and evacuations.
+void membership_notify(
+    membership_state& state, host_id host, time_point now,
+    control_actions& actions);
+
 // The platform has begun a new era: the lease and the entry of this node are
 // gone.
 void membership_begin_era(
--- a/src/core/membership/probing.cpp
+++ b/src/core/membership/probing.cpp
@@ -16,21 +16,6 @@
 // An ack to an older probe reports no contacts.
 constexpr duration sent_probe_retention = 2s;
 
-void send_ping(
-    membership_state& state, host_id target, std::uint64_t sequence,
-    time_point now, control_actions& actions)
-{
-    auto message = make_message(state, message_body::ping, now);
-    message.sequence = sequence;
-    state.sent_probes[sequence] = now;
-    if (const auto found = state.members.find(target);
-        found != state.members.end())
-    {
-        add_report_to_refute(found->second, message);
-    }
-    send_with_updates(state, target, std::move(message), actions);
-}
-
 // Returns the next member to probe: each member once per turn, in random order.
 host_id next_target(membership_state& state, random_source& random)
 {
@@ -140,6 +125,21 @@
 
 } // namespace
 
+void send_ping(
+    membership_state& state, host_id target, std::uint64_t sequence,
+    time_point now, control_actions& actions)
+{
+    auto message = make_message(state, message_body::ping, now);
+    message.sequence = sequence;
+    state.sent_probes[sequence] = now;
+    if (const auto found = state.members.find(target);
+        found != state.members.end())
+    {
+        add_report_to_refute(found->second, message);
+    }
+    send_with_updates(state, target, std::move(message), actions);
+}
+
 void tick_probes(
     membership_state& state, time_point now, random_source& random,
     control_actions& actions)
--- a/src/core/membership/probing.hpp
+++ b/src/core/membership/probing.hpp
@@ -18,6 +18,10 @@
 // Returns when tick_probes is due next.
 [[nodiscard]] time_point probes_due(const membership_state& state);
 
+// Sends a ping whose ack merges what the target knows.
+void send_ping(
+    membership_state& state, host_id target, std::uint64_t sequence,
+    time_point now, control_actions& actions);
 void answer_ping(
     membership_state& state, host_id from, std::uint64_t sequence,
     time_point now, control_actions& actions);
--- a/src/core/membership/seeds.cpp
+++ b/src/core/membership/seeds.cpp
@@ -24,8 +24,7 @@
 // call.
 constexpr duration call_timeout = 10s;
 // Number of lists that a node without known members of its data centre reads
-// before it publishes its entry, so that it finds nodes that start at the same
-// time.
+// before it publishes its entry, if the first list has entries of others.
 constexpr std::uint32_t lists_before_publishing = 2;
 
 // Returns a random duration in [span / 2, span * 3 / 2).
@@ -119,7 +118,8 @@
     {
         return false;
     }
-    if (state.targets.local.empty() &&
+    // A node that has listed others joins them first.
+    if (state.targets.local.empty() && state.seed.others_listed > 0 &&
         state.seed.lists_done < lists_before_publishing)
     {
         return false;
@@ -179,6 +179,11 @@
             contact_if_unknown(state, *host, now, actions);
         }
     }
+    if (state.seed.others_listed == 0)
+    {
+        // The entry of the first node is what the others find.
+        state.seed.next_check_at = now;
+    }
     const duration pause =
         has_known_members(state) ? relist_interval : isolated_relist_interval;
     state.seed.next_list_at = now + jittered(pause, random);
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -58,6 +58,21 @@
     actions.events.push_back(std::move(new_event));
 }
 
+// Exchanges with the other nodes what the store's replies and their messages
+// changed.
+void update_documents(
+    control_state& state, time_point now, random_source& random,
+    control_actions& actions)
+{
+    update_evacuations(state, now, actions);
+    if (reads_documents(state.document))
+    {
+        document_exchange(
+            state.document, state.chain, state.membership, now, random,
+            actions);
+    }
+}
+
 // Starts over what depends on the platform's revisions and leases when it has
 // returned from an older copy: both are given out again, so that those of
 // before may belong to something else now.
@@ -137,7 +152,7 @@
     {
         chain_tick(state.chain, state.membership, now, random, actions);
     }
-    update_evacuations(state, now, actions);
+    update_documents(state, now, random, actions);
     if (has_tree_budgets(state))
     {
         trees_tick(state.trees, inputs_of_trees(state), now, actions);
@@ -157,13 +172,14 @@
     {
     case message_kind::membership:
         membership_on_message(state.membership, message, now, random, actions);
-        update_evacuations(state, now, actions);
+        update_documents(state, now, random, actions);
         return;
     case message_kind::configuration:
         if (reads_documents(state.document))
         {
             document_on_message(
                 state.document, state.chain, message, now, actions);
+            update_documents(state, now, random, actions);
             return;
         }
         chain_on_message(
@@ -220,8 +236,9 @@
         if (reads_documents(state.document))
         {
             document_on_platform_reply(
-                state.document, state.chain, reply, now, random, actions);
-            update_evacuations(state, now, actions);
+                state.document, state.chain, state.membership, reply, now,
+                random, actions);
+            update_documents(state, now, random, actions);
             return;
         }
         chain_on_platform_reply(
--- /dev/null
+++ b/tests/core/document_watchers_test.cpp
@@ -0,0 +1,266 @@
+// Fleets in which few nodes watch the document, and the others follow them. The
+// load: the store is paid by the call, and all nodes need each version within
+// two seconds.
+#include "support/document_fixture.hpp"
+#include "support/virtual_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+using testing_support::fleet_options;
+using testing_support::virtual_fleet;
+using testing_support::virtual_node;
+
+constexpr duration bound_of_a_change = 2s;
+// Keys are refused without a proof that is newer than this.
+constexpr duration key_staleness = 4500ms;
+
+struct document_fleet
+{
+    explicit document_fleet(std::uint32_t hosts_per_data_centre)
+        : fleet(options_with(hosts_per_data_centre))
+    {
+        write(1);
+        fleet.start_all();
+        fleet.run_for(8s);
+        EXPECT_EQ(count_with(1), fleet.nodes.size());
+    }
+
+    static fleet_options options_with(std::uint32_t hosts)
+    {
+        fleet_options options;
+        options.fixed_members = false;
+        options.hosts_per_data_centre = hosts;
+        options.links.loss = 0.01;
+        options.document.key = "document";
+        options.document.read = &read_version;
+        return options;
+    }
+
+    void write(std::uint64_t version)
+    {
+        platform_call call;
+        call.operation = platform_operation::compare_and_swap;
+        call.key = "document";
+        call.value = "version " + std::to_string(version);
+        const auto found = fleet.platform.values.find(call.key);
+        call.expected_version =
+            found == fleet.platform.values.end() ? 0 : found->second.version;
+        store_call(fleet.platform, 999, call, fleet.now());
+    }
+
+    [[nodiscard]] std::size_t count_with(std::uint64_t version) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            fleet.nodes,
+            [version](const auto& item)
+            {
+                const virtual_node& node = *item.second;
+                return node.up &&
+                       node.control->chain.current->revision == version;
+            }));
+    }
+
+    [[nodiscard]] std::size_t count_up() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            fleet.nodes,
+            [](const auto& item)
+            {
+                return item.second->up;
+            }));
+    }
+
+    // Writes a version and returns the time until all nodes have it.
+    duration time_to_spread(std::uint64_t version)
+    {
+        write(version);
+        const time_point start = fleet.now();
+        while (count_with(version) < count_up() && fleet.now() - start < 20s)
+        {
+            run(10ms);
+        }
+        return fleet.now() - start;
+    }
+
+    // Runs in small steps and records the oldest proof of any node.
+    void run(duration time)
+    {
+        for (const time_point end = fleet.now() + time; fleet.now() < end;)
+        {
+            fleet.run_for(std::min<duration>(10ms, end - fleet.now()));
+            for (const auto& [host, node] : fleet.nodes)
+            {
+                if (node->up)
+                {
+                    oldest_proof = std::max(
+                        oldest_proof, fleet.local_now(*node) -
+                                          configuration_confirmed_at(
+                                              node->control->chain,
+                                              node->control->membership));
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] std::set<host_id> watchers() const
+    {
+        std::set<host_id> hosts;
+        for (const auto& [host, node] : fleet.nodes)
+        {
+            if (node->up && node->control->document.watchers.is_watcher)
+            {
+                hosts.insert(host);
+            }
+        }
+        return hosts;
+    }
+
+    virtual_fleet fleet;
+    duration oldest_proof{};
+};
+
+// Every node watched: two calls a second and node, and each change woke all.
+TEST(document_watchers, few_nodes_call_the_platform)
+{
+    document_fleet test(28);
+    EXPECT_EQ(test.watchers().size(), 6U);
+    const std::uint64_t before = store_call_count(test.fleet.platform);
+    for (std::uint64_t version = 2; version <= 5; ++version)
+    {
+        EXPECT_LE(test.time_to_spread(version), 1s);
+        test.run(5s);
+    }
+    const auto calls =
+        static_cast<double>(store_call_count(test.fleet.platform) - before);
+    EXPECT_LE(calls / 20.0, 25.0);
+    EXPECT_LE(test.oldest_proof, 3s);
+}
+
+TEST(document_watchers, all_nodes_of_a_small_data_centre_watch)
+{
+    document_fleet test(4);
+    EXPECT_EQ(test.watchers().size(), 12U);
+    EXPECT_LE(test.time_to_spread(2), 500ms);
+}
+
+// A change right after the watchers of a data centre were lost.
+TEST(document_watchers, watchers_that_are_lost)
+{
+    document_fleet test(28);
+    for (const host_id host : test.watchers())
+    {
+        test.fleet.crash(*test.fleet.nodes.at(host));
+    }
+    EXPECT_LE(test.time_to_spread(2), bound_of_a_change);
+    test.run(10s);
+    EXPECT_LE(test.oldest_proof, key_staleness);
+    {
+        SCOPED_TRACE("others have taken their place");
+        EXPECT_EQ(test.watchers().size(), 6U);
+        EXPECT_LE(test.time_to_spread(3), 1s);
+    }
+}
+
+// The watchers are up and answer pings, but the store does not serve them.
+TEST(document_watchers, watchers_that_the_platform_does_not_serve)
+{
+    document_fleet test(28);
+    const auto cut = test.watchers();
+    test.fleet.platform_reachable = [cut](const virtual_node& node)
+    {
+        return !cut.contains(node.host);
+    };
+    test.run(3s);
+    EXPECT_LE(test.time_to_spread(2), bound_of_a_change);
+    test.run(5s);
+    EXPECT_LE(test.oldest_proof, key_staleness);
+}
+
+// Followers lost their only source of changes.
+TEST(document_watchers, followers_behind_a_cut)
+{
+    document_fleet test(28);
+    const auto watching = test.watchers();
+    for (const auto& [host, node] : test.fleet.nodes)
+    {
+        if (!watching.contains(host))
+        {
+            for (const host_id other : watching)
+            {
+                test.fleet.network.cut(host, other);
+            }
+        }
+    }
+    EXPECT_LE(test.time_to_spread(2), bound_of_a_change);
+    test.run(5s);
+    EXPECT_LE(test.oldest_proof, key_staleness);
+}
+
+TEST(document_watchers, a_node_that_starts)
+{
+    document_fleet test(28);
+    virtual_node& node = *test.fleet.nodes.rbegin()->second;
+    test.fleet.crash(node);
+    test.run(1s);
+    test.fleet.start(node);
+    test.fleet.run_for(500ms);
+    EXPECT_EQ(node.control->chain.current->revision, 1U);
+    test.fleet.run_for(3s);
+    EXPECT_LE(test.time_to_spread(2), 1s);
+}
+
+// The platform holds no document yet: each node read it ten times a second.
+TEST(document_watchers, the_first_document_is_watched)
+{
+    document_fixture node;
+    node.answer(*node.next_call(), platform_status::not_found);
+    const auto list = *node.next_call();
+    EXPECT_EQ(list.operation, platform_operation::list);
+    node.answer(list, platform_status::ok, {}, 40);
+    auto watch = *node.next_call();
+    EXPECT_EQ(watch.operation, platform_operation::watch);
+    EXPECT_EQ(watch.expected_version, 40U);
+    {
+        SCOPED_TRACE("a watch that ends without a change is repeated");
+        node.answer(watch, platform_status::ok, {}, 41);
+        watch = *node.next_call();
+        EXPECT_EQ(watch.operation, platform_operation::watch);
+        EXPECT_EQ(watch.expected_version, 41U);
+    }
+    {
+        SCOPED_TRACE("the first version is applied");
+        node.answer(
+            watch, platform_status::ok, {{"document", "version 7", 42}}, 42);
+        EXPECT_EQ(node.chain.current->revision, 7U);
+        EXPECT_EQ(node.next_call()->operation, platform_operation::watch);
+    }
+}
+
+// Nodes that start together on an empty store found each other after seconds.
+TEST(document_watchers, nodes_that_start_together_meet_soon)
+{
+    virtual_fleet fleet(document_fleet::options_with(28));
+    for (const auto& [host, node] : fleet.nodes)
+    {
+        fleet.start(*node);
+        // Only the store leads them to each other.
+        node->control->membership.settings.seeds.clear();
+    }
+    fleet.run_for(1500ms);
+    for (const auto& [host, node] : fleet.nodes)
+    {
+        EXPECT_GE(node->control->membership.members.size(), 80U);
+    }
+    EXPECT_LE(store_call_count(fleet.platform), 84U * 12U);
+}
+
+} // namespace
+} // namespace cyclamenhold
--- a/tests/support/document_fixture.hpp
+++ b/tests/support/document_fixture.hpp
@@ -69,7 +69,8 @@
         reply.entries = std::move(entries);
         reply.revision = revision;
         reply.era = era;
-        document_on_platform_reply(state, chain, reply, now, random, actions);
+        document_on_platform_reply(
+            state, chain, members, reply, now, random, actions);
     }
 
     document_state state;
--- a/tests/support/virtual_fleet.hpp
+++ b/tests/support/virtual_fleet.hpp
@@ -81,6 +81,7 @@
         node_settings.rates.self = node.host;
         node_settings.rates.data_centre = node.data_centre;
         node_settings.claims = options_.claims;
+        node_settings.document = options_.document;
         node_settings.claims.self = node.host;
         node_settings.claims.data_centre = node.data_centre;
         control_actions actions;
@@ -225,7 +226,10 @@
     {
         node.tick_requested = false;
         control_state& control = *node.control;
-        control.chain.current = settings;
+        if (!reads_documents(control.document))
+        {
+            control.chain.current = settings;
+        }
         const time_point local = local_now(node);
         control_actions actions;
         if (options_.fixed_members)
--- a/tests/support/virtual_node.hpp
+++ b/tests/support/virtual_node.hpp
@@ -43,6 +43,9 @@
     duration detection_time = 3s;
     rates_settings rates;
     claims_settings claims;
+    // Documents of the store instead of `virtual_fleet::settings` if it has a
+    // key.
+    document_settings document;
     link_faults links;
 };
 
