--- a/tests/core/document_watchers_test.cpp
+++ b/tests/core/document_watchers_test.cpp
@@ -189,7 +189,7 @@
 {
     document_fleet test(28);
     const auto watching = test.watchers();
-    test.fleet.network.connected =
+    test.fleet.network.is_link_up =
         [watching](const virtual_node& from, const virtual_node& to)
     {
         return watching.contains(from.host) == watching.contains(to.host);
