--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -4,8 +4,6 @@
 #include "adapters/http_fields.hpp"
 #include "adapters/reply_writer.hpp"
 
-#include <sys/socket.h>
-
 namespace cyclamenhold
 {
 namespace
@@ -61,48 +59,16 @@
     run.caller->thread.services.record(recorded);
 }
 
-// Cancels the attempt in progress when the caller's connection ends. A wait
-// that is still pending after its request completes on the first byte of the
-// next one.
-void watch_for_disconnect(const caller_ptr& caller)
-{
-    if (caller->watching)
-    {
-        return;
-    }
-    caller->watching = true;
-    caller->stream.socket().async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [caller](const boost::system::error_code& error)
-        {
-            caller->watching = false;
-            char byte = 0;
-            const bool ended =
-                error || ::recv(
-                             caller->stream.socket().native_handle(), &byte, 1,
-                             MSG_PEEK | MSG_DONTWAIT) == 0;
-            if (!ended)
-            {
-                return;
-            }
-            caller->disconnected = true;
-            if (const auto work = caller->current.lock())
-            {
-                cancel(*work);
-            }
-        });
-}
-
-asio::awaitable<bool> read_more(caller_connection& caller, std::string& bytes)
+asio::awaitable<bool> read_more(caller_request& caller, std::string& bytes)
 {
     bytes.resize(max_chunk_bytes);
     auto& body = caller.parser->get().body();
     body.data = bytes.data();
     body.size = bytes.size();
-    caller.stream.expires_after(
+    caller.connection->stream.expires_after(
         caller.thread.services.limits.body_stall_timeout);
     const auto [error, count] = co_await http::async_read(
-        caller.stream, caller.buffer, *caller.parser,
+        caller.connection->stream, caller.connection->buffer, *caller.parser,
         asio::as_tuple(asio::use_awaitable));
     bytes.resize(bytes.size() - body.size);
     co_return !error || error == http::error::need_buffer;
@@ -119,7 +85,7 @@
         const bool more = co_await read_more(*caller, chunk.bytes);
         if (!more)
         {
-            caller->disconnected = true;
+            disconnect(*caller->connection);
             cancel(*work);
             co_return;
         }
@@ -134,7 +100,7 @@
             co_return;
         }
     }
-    watch_for_disconnect(caller);
+    watch_for_disconnect(caller->connection);
 }
 
 // Collects the caller's header fields that are forwarded and those that the
@@ -173,7 +139,7 @@
     run.work->head = run.head;
     run.work->target_incarnation = step.target.location.host_incarnation;
     run.caller->current = run.work;
-    if (run.caller->disconnected)
+    if (run.caller->connection->disconnected)
     {
         cancel(*run.work);
     }
@@ -269,13 +235,13 @@
     if (!closed && run.first_event.head && !run.first_event.failure)
     {
         const bool whole = co_await gather_small(work, run.first_event);
-        if (!whole && !*timed_out && !run.caller->disconnected)
+        if (!whole && !*timed_out && !run.caller->connection->disconnected)
         {
             run.first_event.head.reset();
             run.first_event.failure =
                 stream_failure{refusal::upstream_failed, outcome::unknown};
         }
-        closed = !whole && (*timed_out || run.caller->disconnected);
+        closed = !whole && (*timed_out || run.caller->connection->disconnected);
     }
     const auto result = result_of(run, closed, *timed_out);
     record_attempt(run, step.target.location.host, result);
@@ -412,9 +378,9 @@
     run.head.target = request.target;
     run.head.body_size = request.body_size;
     run.request_id = request.request_id;
-    if (caller->body_complete)
+    if (caller->body_complete && !caller->runs_beside_reader)
     {
-        watch_for_disconnect(caller);
+        watch_for_disconnect(caller->connection);
     }
     call_step step = begin_call(path, run.state, request, now(), thread.random);
     fill_forwarded_fields(run, request);
--- a/src/adapters/call_driver.hpp
+++ b/src/adapters/call_driver.hpp
@@ -4,15 +4,13 @@
 
 #include "adapters/call_handles.hpp"
 #include "adapters/call_wakeups.hpp"
+#include "adapters/callers/caller_connection.hpp"
 #include "adapters/exchange.hpp"
 #include "adapters/local_gate.hpp"
 #include "adapters/node_services.hpp"
 #include "adapters/peer_links.hpp"
 #include "core/request/call.hpp"
 
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,8 +29,6 @@
     std::function<void(std::function<void(std::string)>)> issue_ticket;
 };
 
-struct caller_connection;
-
 // The state of one of the threads that serve requests.
 struct request_thread
 {
@@ -59,39 +55,6 @@
     std::unordered_set<std::shared_ptr<caller_connection>> idle;
 };
 
-using caller_parser =
-    boost::beast::http::request_parser<boost::beast::http::buffer_body>;
-
-// A caller's connection and the request being read from it.
-struct caller_connection
-{
-    caller_connection(request_thread& owner, asio::ip::tcp::socket socket)
-        : thread(owner),
-          stream(std::move(socket)),
-          buffer(owner.services.limits.max_header_bytes + max_chunk_bytes)
-    {
-    }
-
-    request_thread& thread;
-    boost::beast::tcp_stream stream;
-    // Bounded: a line that begins a chunk of a body may come without end.
-    boost::beast::flat_buffer buffer;
-    std::unique_ptr<caller_parser> parser;
-    // The first bytes of the body, at most max_chunk_bytes.
-    std::string prefix;
-    // The body has been read to its end.
-    bool body_complete = false;
-    // The attempt in progress; cancelled when the caller disconnects.
-    std::weak_ptr<exchange> current;
-    // A wait for the caller's disconnection is pending.
-    bool watching = false;
-    bool disconnected = false;
-    // The connection cannot carry another request after the current reply.
-    bool must_close = false;
-};
-
-using caller_ptr = std::shared_ptr<caller_connection>;
-
 // Runs the request whose head and prefix have been read. `parent` is set for a
 // child call of the local upstream.
 [[nodiscard]] asio::awaitable<void>
--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -1,15 +1,12 @@
 #include "adapters/caller_session.hpp"
 
-#include "adapters/clock.hpp"
+#include "adapters/callers/request_reader.hpp"
 #include "adapters/http_fields.hpp"
 #include "adapters/reply_writer.hpp"
 #include "adapters/upstream_requests.hpp"
 
 #include <boost/json.hpp>
 
-#include <algorithm>
-#include <charconv>
-
 namespace cyclamenhold
 {
 namespace
@@ -19,188 +16,12 @@
 namespace http = boost::beast::http;
 
 constexpr std::string_view ticket_target = "/v1/tickets";
-constexpr std::size_t max_idempotency_key_bytes = 256;
-constexpr std::uint64_t max_timeout_ms = 3'600'000;
 
 std::string_view view_of(beast::string_view text)
 {
     return {text.data(), text.size()};
 }
 
-void record_bad_input(caller_connection& caller, std::string detail)
-{
-    event recorded;
-    recorded.kind = event_kind::bad_input;
-    recorded.detail = std::move(detail);
-    caller.thread.services.record(recorded);
-}
-
-// Reads the next request's head. False when the connection ends: the caller
-// closed it, was too slow, or sent malformed HTTP, for which a refusal is
-// written first.
-asio::awaitable<bool> read_head(caller_ptr caller)
-{
-    const http_limits& limits = caller->thread.services.limits;
-    caller->parser = std::make_unique<caller_parser>();
-    caller->parser->header_limit(limits.max_header_bytes);
-    caller->parser->body_limit(limits.max_body_bytes);
-    caller->prefix = {};
-    caller->body_complete = false;
-    if (caller->buffer.size() == 0)
-    {
-        // The header timeout starts at the header's first byte.
-        caller->stream.expires_after(limits.idle_timeout);
-        caller->thread.idle.insert(caller);
-        const auto [error, count] = co_await caller->stream.async_read_some(
-            caller->buffer.prepare(max_chunk_bytes),
-            asio::as_tuple(asio::use_awaitable));
-        caller->thread.idle.erase(caller);
-        if (error)
-        {
-            co_return false;
-        }
-        caller->buffer.commit(count);
-    }
-    caller->stream.expires_after(limits.header_timeout);
-    const auto [error, count] = co_await http::async_read_header(
-        caller->stream, caller->buffer, *caller->parser,
-        asio::as_tuple(asio::use_awaitable));
-    if (!error)
-    {
-        co_return true;
-    }
-    if (error == http::error::end_of_stream || error == asio::error::eof ||
-        error == beast::error::timeout ||
-        error == asio::error::connection_reset)
-    {
-        co_return false;
-    }
-    const refusal reason =
-        error == http::error::header_limit ? refusal::header_too_large
-        : error == http::error::body_limit ? refusal::body_too_large
-                                           : refusal::bad_request;
-    record_bad_input(*caller, error.message());
-    caller->must_close = true;
-    co_await write_refusal(caller, reason, outcome::not_run, {}, {});
-    co_return false;
-}
-
-asio::awaitable<bool> answer_expectation(caller_ptr caller)
-{
-    const auto expectation = caller->parser->get()[http::field::expect];
-    if (!beast::iequals(expectation, "100-continue"))
-    {
-        co_return true;
-    }
-    http::response<http::empty_body> interim(http::status::continue_, 11);
-    const auto [error, count] = co_await http::async_write(
-        caller->stream, interim, asio::as_tuple(asio::use_awaitable));
-    co_return !error;
-}
-
-// Reads the body into the prefix, at most max_chunk_bytes of it.
-asio::awaitable<bool> read_prefix(caller_ptr caller)
-{
-    const bool expected = co_await answer_expectation(caller);
-    if (!expected)
-    {
-        co_return false;
-    }
-    auto& parser = *caller->parser;
-    auto& body = parser.get().body();
-    // The buffer starts at the declared length, or at default_read_bytes
-    // without one, and doubles for each later read.
-    constexpr std::size_t default_read_bytes = 4 * 1024;
-    const std::size_t declared_bytes = std::min<std::uint64_t>(
-        parser.content_length().value_or(default_read_bytes), max_chunk_bytes);
-    caller->prefix.reserve(declared_bytes);
-    while (!parser.is_done() && caller->prefix.size() < max_chunk_bytes)
-    {
-        const std::size_t filled = caller->prefix.size();
-        const std::size_t buffer_bytes =
-            std::min(max_chunk_bytes, std::max(declared_bytes + 1, 2 * filled));
-        caller->prefix.resize(buffer_bytes);
-        body.data = caller->prefix.data() + filled;
-        body.size = buffer_bytes - filled;
-        caller->stream.expires_after(
-            caller->thread.services.limits.body_stall_timeout);
-        const auto [error, count] = co_await http::async_read_some(
-            caller->stream, caller->buffer, parser,
-            asio::as_tuple(asio::use_awaitable));
-        caller->prefix.resize(buffer_bytes - body.size);
-        if (error && error != http::error::need_buffer)
-        {
-            if (error == http::error::body_limit)
-            {
-                caller->must_close = true;
-                co_await write_refusal(
-                    caller, refusal::body_too_large, outcome::not_run, {}, {});
-            }
-            else if (error != beast::error::timeout)
-            {
-                record_bad_input(*caller, error.message());
-            }
-            co_return false;
-        }
-    }
-    caller->body_complete = parser.is_done();
-    co_return true;
-}
-
-std::optional<std::chrono::milliseconds> timeout_of(
-    const http::fields& fields, const header_names& names, bool& malformed)
-{
-    const auto text = field_value(fields, names.timeout);
-    if (text.empty())
-    {
-        return std::nullopt;
-    }
-    std::uint64_t value = 0;
-    const auto [position, error] =
-        std::from_chars(text.data(), text.data() + text.size(), value);
-    malformed = error != std::errc() || position != text.data() + text.size() ||
-                value == 0 || value > max_timeout_ms;
-    return std::chrono::milliseconds(value);
-}
-
-// Converts a parsed request to a call request; nullopt when a field is
-// malformed.
-std::optional<call_request> request_of(const caller_connection& caller)
-{
-    const auto& message = caller.parser->get();
-    bool malformed = false;
-    call_request request;
-    request.method = view_of(message.method_string());
-    request.target = view_of(message.target());
-    if (const auto key = bearer_of(message); !key.empty())
-    {
-        request.key = std::string(key);
-    }
-    const header_names& names = caller.thread.services.profile.headers;
-    request.host = view_of(message[http::field::host]);
-    request.timeout = timeout_of(message, names, malformed);
-    request.request_id = field_value(message, names.request_id);
-    request.idempotency_key =
-        view_of(message[{idempotency_field.data(), idempotency_field.size()}]);
-    if (const auto length = caller.parser->content_length())
-    {
-        request.body_size = *length;
-    }
-    else if (caller.body_complete && !caller.prefix.empty())
-    {
-        request.body_size = caller.prefix.size();
-    }
-    request.body_prefix = caller.prefix;
-    const bool carries_key =
-        request.key && request.target.find(*request.key) != std::string::npos;
-    if (malformed || carries_key || !request.target.starts_with('/') ||
-        request.idempotency_key.size() > max_idempotency_key_bytes)
-    {
-        return std::nullopt;
-    }
-    return request;
-}
-
 boost::json::value ticket_json(const std::string& ticket)
 {
     return boost::json::object{{"ticket", ticket}};
@@ -229,7 +50,7 @@
 
 // Finds the parent of a child call by the handle that the node sent to the
 // upstream.
-running_request_ptr parent_of(const caller_connection& caller)
+running_request_ptr parent_of(const caller_request& caller)
 {
     const header_names& names = caller.thread.services.profile.headers;
     return find_running(
@@ -284,29 +105,98 @@
     co_await run_call(caller, std::move(*request), std::move(parent));
 }
 
+// Whether a request may run while the next one is read and run: it is whole and
+// may be repeated, as those behind it may if an earlier reply closes the
+// connection.
+bool may_run_beside(const caller_request& caller)
+{
+    if (!caller.body_complete)
+    {
+        return false;
+    }
+    const auto& message = caller.parser->get();
+    const auto tables = caller.thread.services.path.tables.read();
+    const route_entry* const route = find_route(
+        *tables, view_of(message[http::field::host]),
+        view_of(message.method_string()), view_of(message.target()));
+    return route != nullptr && !route->settings.never_repeat;
+}
+
+asio::awaitable<void>
+serve_and_close(caller_ptr caller, session_settings settings)
+{
+    co_await serve_request(caller, settings);
+    close_request(caller);
+}
+
+// Waits until fewer than `count` requests are open. Nothing is read meanwhile.
+asio::awaitable<void>
+wait_for_room(std::shared_ptr<caller_connection> connection, std::size_t count)
+{
+    if (connection->open.size() >= count)
+    {
+        watch_for_disconnect(connection);
+        co_await wait_for_open(connection, count);
+    }
+}
+
+// Reads one request and runs it, or starts to. False if none can follow it.
+asio::awaitable<bool> serve_next(
+    std::shared_ptr<caller_connection> connection, session_settings settings)
+{
+    auto caller = std::make_shared<caller_request>(connection);
+    const bool has_head = co_await read_head(caller);
+    if (!has_head)
+    {
+        co_return false;
+    }
+    const bool has_prefix = co_await read_prefix(caller);
+    if (!has_prefix)
+    {
+        co_return false;
+    }
+    const bool is_last = !caller->parser->get().keep_alive();
+    if (settings.side == session_side::callers && may_run_beside(*caller))
+    {
+        open_request(caller);
+        caller->runs_beside_reader = !is_last;
+        asio::co_spawn(
+            connection->thread.io, serve_and_close(caller, settings),
+            asio::detached);
+        co_return !is_last;
+    }
+    co_await wait_for_room(connection, 1);
+    if (connection->must_close || connection->disconnected)
+    {
+        co_return false;
+    }
+    open_request(caller);
+    co_await serve_and_close(caller, settings);
+    co_return !is_last;
+}
+
 } // namespace
 
-asio::awaitable<void> serve_caller(caller_ptr caller, session_settings settings)
+asio::awaitable<void> serve_caller(
+    std::shared_ptr<caller_connection> connection, session_settings settings)
 {
     boost::system::error_code ignored;
-    caller->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    while (!caller->must_close && !caller->disconnected)
+    connection->stream.socket().set_option(
+        asio::ip::tcp::no_delay(true), ignored);
+    bool goes_on = true;
+    while (goes_on && !connection->must_close && !connection->disconnected)
     {
-        const bool has_head = co_await read_head(caller);
-        if (!has_head)
-        {
-            break;
-        }
-        const bool has_prefix = co_await read_prefix(caller);
-        if (!has_prefix)
+        co_await wait_for_room(connection, max_open_requests);
+        if (connection->must_close || connection->disconnected)
         {
             break;
         }
-        co_await serve_request(caller, settings);
+        goes_on = co_await serve_next(connection, settings);
     }
-    caller->stream.socket().shutdown(
+    co_await wait_for_room(connection, 1);
+    connection->stream.socket().shutdown(
         asio::ip::tcp::socket::shutdown_send, ignored);
-    caller->stream.close();
+    connection->stream.close();
 }
 
 } // namespace cyclamenhold
--- a/src/adapters/caller_session.hpp
+++ b/src/adapters/caller_session.hpp
@@ -32,7 +32,7 @@
 };
 
 // Serves one connection until it ends.
-[[nodiscard]] asio::awaitable<void>
-serve_caller(caller_ptr caller, session_settings settings);
+[[nodiscard]] asio::awaitable<void> serve_caller(
+    std::shared_ptr<caller_connection> connection, session_settings settings);
 
 } // namespace cyclamenhold
--- /dev/null
+++ b/src/adapters/callers/caller_connection.cpp
@@ -0,0 +1,165 @@
+#include "adapters/callers/caller_connection.hpp"
+
+#include "adapters/call_driver.hpp"
+
+#include <algorithm>
+
+#include <sys/socket.h>
+
+namespace cyclamenhold
+{
+namespace
+{
+
+void wake_next(caller_connection& connection)
+{
+    if (connection.disconnected || connection.must_close)
+    {
+        for (const auto& request : connection.open)
+        {
+            request->turn.cancel();
+        }
+        return;
+    }
+    if (!connection.open.empty())
+    {
+        connection.open.front()->turn.cancel();
+    }
+}
+
+} // namespace
+
+caller_connection::caller_connection(
+    request_thread& owner, asio::ip::tcp::socket socket)
+    : thread(owner),
+      stream(std::move(socket)),
+      buffer(owner.services.limits.max_header_bytes + max_chunk_bytes),
+      ended(owner.io.get_executor(), asio::steady_timer::time_point::max()),
+      idle_limit(owner.io.get_executor())
+{
+}
+
+caller_request::caller_request(std::shared_ptr<caller_connection> on)
+    : connection(std::move(on)),
+      thread(connection->thread),
+      turn(thread.io.get_executor(), asio::steady_timer::time_point::max())
+{
+}
+
+void open_request(const caller_ptr& request)
+{
+    request->connection->open.push_back(request);
+}
+
+asio::awaitable<bool> wait_for_turn(caller_ptr request)
+{
+    const caller_connection& connection = *request->connection;
+    while (!connection.disconnected && !connection.must_close &&
+           !connection.open.empty() && connection.open.front() != request)
+    {
+        co_await request->turn.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return !connection.disconnected && !connection.must_close;
+}
+
+bool has_followers(const caller_request& request)
+{
+    const auto& open = request.connection->open;
+    return !open.empty() && open.back().get() != &request;
+}
+
+void close_request(const caller_ptr& request)
+{
+    caller_connection& connection = *request->connection;
+    std::erase(connection.open, request);
+    connection.ended.cancel();
+    if (connection.must_close && !connection.open.empty())
+    {
+        // What is behind a reply that closes the connection counts as not read.
+        disconnect(connection);
+    }
+    if (connection.must_close && connection.is_reading)
+    {
+        connection.stream.cancel();
+    }
+    wake_next(connection);
+    if (connection.open.empty() && connection.is_reading &&
+        !connection.must_close && !connection.disconnected)
+    {
+        begin_idle(connection);
+    }
+}
+
+asio::awaitable<void>
+wait_for_open(std::shared_ptr<caller_connection> connection, std::size_t count)
+{
+    while (connection->open.size() >= count)
+    {
+        co_await connection->ended.async_wait(
+            asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+void begin_idle(caller_connection& connection)
+{
+    connection.thread.idle.insert(connection.shared_from_this());
+    connection.idle_limit.expires_after(
+        connection.thread.services.limits.idle_timeout);
+    connection.idle_limit.async_wait(
+        [held = connection.shared_from_this()](
+            const boost::system::error_code& error)
+        {
+            if (!error && held->open.empty())
+            {
+                held->stream.close();
+            }
+        });
+}
+
+void end_idle(caller_connection& connection)
+{
+    connection.thread.idle.erase(connection.shared_from_this());
+    connection.idle_limit.cancel();
+}
+
+// A wait that is still pending after its request completes on the first byte of
+// the next one.
+void watch_for_disconnect(std::shared_ptr<caller_connection> connection)
+{
+    if (connection->watching)
+    {
+        return;
+    }
+    connection->watching = true;
+    auto& socket = connection->stream.socket();
+    socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [connection](const boost::system::error_code& error)
+        {
+            connection->watching = false;
+            char byte = 0;
+            const bool ended =
+                error || ::recv(
+                             connection->stream.socket().native_handle(), &byte,
+                             1, MSG_PEEK | MSG_DONTWAIT) == 0;
+            if (ended)
+            {
+                disconnect(*connection);
+            }
+        });
+}
+
+void disconnect(caller_connection& connection)
+{
+    connection.disconnected = true;
+    for (const auto& request : connection.open)
+    {
+        if (const auto work = request->current.lock())
+        {
+            cancel(*work);
+        }
+    }
+    wake_next(connection);
+}
+
+} // namespace cyclamenhold
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -136,8 +136,9 @@
     }
 }
 
-asio::awaitable<void>
-run_session(node_runtime* node, caller_ptr caller, session_settings settings)
+asio::awaitable<void> run_session(
+    node_runtime* node, std::shared_ptr<caller_connection> caller,
+    session_settings settings)
 {
     ++node->sessions;
     change(node->node_metrics, gauge_id::caller_connections, 1);
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -18,7 +18,7 @@
 
 constexpr unsigned http_version_1_1 = 11;
 
-const header_names& names_of(const caller_connection& caller)
+const header_names& names_of(const caller_request& caller)
 {
     return caller.thread.services.profile.headers;
 }
@@ -36,16 +36,18 @@
     return text.data();
 }
 
-bool is_keep_alive(const caller_connection& caller)
+// A reply in front of requests that already run leaves the connection open
+// during a planned stop, so that these are answered too.
+bool is_keep_alive(const caller_request& caller)
 {
-    return !caller.must_close && caller.body_complete && caller.parser &&
-           caller.parser->get().keep_alive() &&
-           !caller.thread.services.path.draining;
+    return !caller.connection->must_close && caller.body_complete &&
+           caller.parser && caller.parser->get().keep_alive() &&
+           (has_followers(caller) || !caller.thread.services.path.draining);
 }
 
 template <class Response>
 void fill_common(
-    Response& response, const caller_connection& caller, trace_id trace,
+    Response& response, const caller_request& caller, trace_id trace,
     outcome result)
 {
     response.version(http_version_1_1);
@@ -57,7 +59,7 @@
 
 template <class Response>
 void fill_head(
-    Response& response, const caller_connection& caller, const reply_head& head,
+    Response& response, const caller_request& caller, const reply_head& head,
     trace_id trace)
 {
     response.result(head.status);
@@ -71,13 +73,14 @@
 template <class Response>
 asio::awaitable<bool> write_message(caller_ptr caller, Response& response)
 {
-    caller->stream.expires_after(
+    caller->connection->stream.expires_after(
         caller->thread.services.limits.body_stall_timeout);
     const auto [error, count] = co_await http::async_write(
-        caller->stream, response, asio::as_tuple(asio::use_awaitable));
+        caller->connection->stream, response,
+        asio::as_tuple(asio::use_awaitable));
     if (error || !response.keep_alive())
     {
-        caller->must_close = true;
+        caller->connection->must_close = true;
     }
     co_return !error;
 }
@@ -127,10 +130,11 @@
     response.body().data = event.bytes.empty() ? nullptr : event.bytes.data();
     response.body().size = event.bytes.size();
     response.body().more = !event.last;
-    caller->stream.expires_after(
+    caller->connection->stream.expires_after(
         caller->thread.services.limits.body_stall_timeout);
     const auto [error, count] = co_await http::async_write(
-        caller->stream, serializer, asio::as_tuple(asio::use_awaitable));
+        caller->connection->stream, serializer,
+        asio::as_tuple(asio::use_awaitable));
     co_return !error || error == http::error::need_buffer;
 }
 
@@ -227,6 +231,11 @@
             delivered.content_type = value;
         }
     }
+    const bool is_turn = co_await wait_for_turn(caller);
+    if (!is_turn)
+    {
+        co_return delivered;
+    }
     if (first.last)
     {
         store_body_bytes(delivered, first.bytes);
@@ -239,8 +248,8 @@
         caller, work, std::move(first), trace, delivered);
     if (!delivered.whole)
     {
-        caller->must_close = true;
-        caller->stream.close();
+        caller->connection->must_close = true;
+        caller->connection->stream.close();
     }
     co_return delivered;
 }
@@ -249,12 +258,17 @@
     caller_ptr caller, refusal reason, outcome result, duration retry_after,
     trace_id trace)
 {
+    const bool is_turn = co_await wait_for_turn(caller);
+    if (!is_turn)
+    {
+        co_return;
+    }
     http::response<http::string_body> response;
     response.result(http_status_of(reason, result));
     if (!caller->body_complete)
     {
         // The rest of the request is not read, so no request can follow it.
-        caller->must_close = true;
+        caller->connection->must_close = true;
     }
     fill_common(response, *caller, trace, result);
     const header_names& names = names_of(*caller);
@@ -282,6 +296,11 @@
 asio::awaitable<void>
 write_stored(caller_ptr caller, stored_reply reply, trace_id trace)
 {
+    const bool is_turn = co_await wait_for_turn(caller);
+    if (!is_turn)
+    {
+        co_return;
+    }
     http::response<http::string_body> response;
     response.result(reply.status);
     fill_common(response, *caller, trace, outcome::ran);
