Treat a status without a meaning as a failure of the upstream

A reply with a status outside of 200 to 599 now fails the attempt with an unknown outcome, counts as a failure of the upstream and ends its connection; interim replies are skipped.

--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -232,6 +232,14 @@
                 asio::detached);
         }
     }
+    if (!closed && run.first_event.head &&
+        !is_final_status(run.first_event.head->status))
+    {
+        // From a node that passes on what its upstream sends.
+        run.first_event.head.reset();
+        run.first_event.failure =
+            stream_failure{refusal::upstream_failed, outcome::unknown};
+    }
     if (!closed && run.first_event.head && !run.first_event.failure)
     {
         const bool whole = co_await gather_small(work, run.first_event);
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -257,6 +257,10 @@
         auto [error, count] = co_await http::async_read_header(
             stream, call.connection->buffer, *parser,
             asio::as_tuple(asio::use_awaitable));
+        if (!error && is_interim(*parser))
+        {
+            continue;
+        }
         if (error || !is_of_other_request(call, *parser))
         {
             co_return error;
@@ -318,6 +322,12 @@
     {
         co_return fail_call(call, error, failure_after(error));
     }
+    if (!is_final_status(parser->get().result_int()))
+    {
+        co_return fail_call(
+            call, http::error::bad_status,
+            {refusal::upstream_failed, outcome::unknown});
+    }
     call.on_notice(notice_of(call, *parser));
     if (is_not_run(call, *parser))
     {
--- a/src/adapters/upstream_reply_head.cpp
+++ b/src/adapters/upstream_reply_head.cpp
@@ -91,6 +91,13 @@
            !field_value(parser.get().base(), call.names->not_run).empty();
 }
 
+bool is_interim(const response_parser& parser)
+{
+    constexpr unsigned switching_protocols = 101;
+    const unsigned status = parser.get().result_int();
+    return status >= 100 && status < 200 && status != switching_protocols;
+}
+
 bool lacks_signature(const upstream_call& call, const response_parser& parser)
 {
     const unsigned status = parser.get().result_int();
--- a/src/adapters/upstream_reply_head.hpp
+++ b/src/adapters/upstream_reply_head.hpp
@@ -32,6 +32,10 @@
 [[nodiscard]] bool
 is_not_run(const upstream_call& call, const response_parser& parser);
 
+// True for an interim reply, which another one follows. A change of the
+// protocol is none: nothing that the upstream sends after it could be read.
+[[nodiscard]] bool is_interim(const response_parser& parser);
+
 // True for a 2xx reply without the upstream's signature. It is rejected,
 // because another process may have sent it.
 [[nodiscard]] bool
--- a/tests/adapters/upstream_client_test.cpp
+++ b/tests/adapters/upstream_client_test.cpp
@@ -378,5 +378,63 @@
     EXPECT_TRUE(server.last_result.broke);
 }
 
+// An upstream in trouble sent a status without a meaning, and the caller got it
+// as an answer (MIXED).
+TEST(upstream_client, a_status_without_a_meaning_is_no_answer)
+{
+    for (const std::string status :
+         {"000 Odd", "099 Odd", "101 Switching Protocols", "600 Odd", "700 Odd",
+          "999 Odd"})
+    {
+        SCOPED_TRACE(status);
+        scripted_connection_server upstream(
+            [&](int, int)
+            {
+                return reply_of(
+                           status, "a",
+                           "X-Cyclamenhold-Response-Signature: s\r\n"
+                           "Content-Length: 2\r\n") +
+                       "no";
+            });
+        const auto answer = upstream.send("a");
+        EXPECT_EQ(answer.status, 0U);
+        EXPECT_EQ(answer.body, "");
+        EXPECT_EQ(answer.failure, outcome::unknown);
+        EXPECT_EQ(upstream.last_result.result, gate_result::failed);
+        EXPECT_FALSE(upstream.last_result.reusable);
+    }
+    for (const std::string status : {"200 OK", "404 Not Found", "599 Odd"})
+    {
+        SCOPED_TRACE("others are passed on: " + status);
+        scripted_connection_server upstream(
+            [&](int, int)
+            {
+                return reply_of(
+                           status, "a",
+                           "X-Cyclamenhold-Response-Signature: s\r\n"
+                           "Content-Length: 2\r\n") +
+                       "ok";
+            });
+        EXPECT_EQ(upstream.send("a").status, std::stoul(status));
+    }
+}
+
+// An interim reply took the place of the final one.
+TEST(upstream_client, an_interim_reply_is_followed_by_another)
+{
+    for (const std::string interim : {"100 Continue", "103 Early Hints"})
+    {
+        SCOPED_TRACE(interim);
+        scripted_connection_server upstream(
+            [&](int, int)
+            {
+                return reply_of(interim, "a", "") + success_of("a");
+            });
+        const auto answer = upstream.send("a");
+        EXPECT_EQ(answer.status, 200U);
+        EXPECT_EQ(answer.body, "ok");
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
