--- a/src/adapters/http_fields.hpp
+++ b/src/adapters/http_fields.hpp
@@ -37,4 +37,11 @@
 [[nodiscard]] std::string_view
 bearer_of(const boost::beast::http::fields& fields);
 
+// Whether a status ends a request by the rules of HTTP: interim ones are
+// followed by another, and those outside of these classes have no meaning.
+[[nodiscard]] constexpr bool is_final_status(unsigned status)
+{
+    return status >= 200 && status <= 599;
+}
+
 } // namespace cyclamenhold
--- a/src/core/base/outcome.hpp
+++ b/src/core/base/outcome.hpp
@@ -109,13 +109,6 @@
          {refusal::evacuated, "evacuated"}}};
 };
 
-// Whether a status ends a request by the rules of HTTP: interim ones are
-// followed by another, and those outside of these classes have no meaning.
-[[nodiscard]] constexpr bool is_final_status(unsigned status)
-{
-    return status >= 200 && status <= 599;
-}
-
 // The HTTP status that a refusal is answered with.
 [[nodiscard]] constexpr unsigned http_status_of(refusal reason)
 {
