--- a/src/core/configuration/document_watchers.cpp
+++ b/src/core/configuration/document_watchers.cpp
@@ -15,8 +15,8 @@
 constexpr std::string_view salt = "document watchers";
 // Children of a node. Bounds what a node sends and answers, also in a data
 // centre of a thousand hosts.
-constexpr std::size_t fan_out = 16;
-constexpr duration ping_interval = 400ms;
+constexpr std::size_t fan_out = 8;
+constexpr duration ping_interval = 500ms;
 // A node that has not received a newer version from a member in this time reads
 // it itself.
 constexpr duration pull_patience = 600ms;
@@ -103,8 +103,9 @@
     if (watchers.parent != host_id::none && now >= watchers.next_ping_at)
     {
         watchers.next_ping_at =
-            now + ping_interval / 2 +
-            from_seconds(to_seconds(ping_interval) * random_fraction(random));
+            now + ping_interval * 3 / 4 +
+            from_seconds(
+                to_seconds(ping_interval / 2) * random_fraction(random));
         membership_ping(members, watchers.parent, now, actions);
     }
     const bool has_news = members.own_revision != watchers.told_revision ||
