--- a/src/core/trees/trees.cpp
+++ b/src/core/trees/trees.cpp
@@ -29,49 +29,68 @@
     return from_seconds(to_seconds(tree_report_interval) * factor);
 }
 
-// The collector of this data centre. The second choice takes its place while it
-// does not reply.
-host_id select_collector(const trees_state& state, const trees_inputs& inputs)
+// The hosts that rank first and second in each data centre, as far as this host
+// knows them. The first collects, the second takes its place.
+std::map<data_centre_id, std::vector<host_id>>
+ranked_collectors(const trees_state& state, const membership_state& members)
 {
-    const auto ranked = rendezvous_members(inputs.members, salt, 2);
-    if (ranked.empty())
+    using ranked_host = std::pair<std::uint64_t, host_id>;
+    std::map<data_centre_id, std::vector<ranked_host>> ranked;
+    const auto add = [&ranked](data_centre_id data_centre, host_id host)
     {
-        return state.settings.self;
+        ranked[data_centre].emplace_back(
+            XXH3_64bits_withSeed(
+                salt.data(), salt.size(), static_cast<std::uint64_t>(host)),
+            host);
+    };
+    add(state.settings.data_centre, state.settings.self);
+    for (const auto& [host, known] : members.members)
+    {
+        if (known.state == member_state::alive)
+        {
+            add(known.data_centre, host);
+        }
     }
-    const bool is_silent = state.unanswered >= max_unanswered &&
-                           state.reports_to == ranked.front();
-    const bool stays_second = ranked.size() > 1 &&
-                              state.reports_to == ranked[1] &&
-                              state.unanswered > 0;
-    return (is_silent || stays_second) && ranked.size() > 1 ? ranked[1]
-                                                            : ranked.front();
+    std::map<data_centre_id, std::vector<host_id>> collectors;
+    for (auto& [data_centre, hosts] : ranked)
+    {
+        const auto kept = std::min<std::size_t>(hosts.size(), 2);
+        std::partial_sort(
+            hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(kept),
+            hosts.end());
+        for (std::size_t place = 0; place < kept; ++place)
+        {
+            collectors[data_centre].push_back(hosts[place].second);
+        }
+    }
+    return collectors;
 }
 
-// The collectors of the other data centres, as far as this host knows them.
-std::vector<host_id>
-other_collectors(const trees_state& state, const membership_state& members)
+void update_collectors(trees_state& state, const membership_state& members)
 {
-    std::map<data_centre_id, std::pair<std::uint64_t, host_id>> first;
-    for (const auto& [host, known] : members.members)
+    if (state.members_version == members.version && !state.collectors.empty())
     {
-        if (known.state != member_state::alive ||
-            known.data_centre == state.settings.data_centre)
-        {
-            continue;
-        }
-        const std::pair rank(
-            XXH3_64bits_withSeed(
-                salt.data(), salt.size(), static_cast<std::uint64_t>(host)),
-            host);
-        const auto [place, is_new] = first.emplace(known.data_centre, rank);
-        place->second = std::min(place->second, rank);
+        return;
+    }
+    state.members_version = members.version;
+    state.collectors = ranked_collectors(state, members);
+}
+
+// The collector to report to: the present one while it replies, otherwise the
+// other one of the data centre.
+host_id select_collector(const trees_state& state)
+{
+    const auto& ranked = state.collectors.at(state.settings.data_centre);
+    const auto present = std::ranges::find(ranked, state.reports_to);
+    if (present == ranked.end())
+    {
+        return ranked.front();
     }
-    std::vector<host_id> hosts;
-    for (const auto& [data_centre, entry] : first)
+    if (state.unanswered < max_unanswered || ranked.size() < 2)
     {
-        hosts.push_back(entry.second);
+        return state.reports_to;
     }
-    return hosts;
+    return present == ranked.begin() ? ranked[1] : ranked.front();
 }
 
 void send(host_id to, const tree_message& message, control_actions& actions)
@@ -139,7 +158,8 @@
     trees_state& state, const trees_inputs& inputs, time_point now,
     control_actions& actions)
 {
-    const host_id collector = select_collector(state, inputs);
+    update_collectors(state, inputs.members);
+    const host_id collector = select_collector(state);
     if (collector != state.reports_to)
     {
         state.reports_to = collector;
@@ -174,9 +194,16 @@
     {
         return;
     }
-    for (const host_id host : other_collectors(state, inputs.members))
+    update_collectors(state, inputs.members);
+    for (const auto& [data_centre, hosts] : state.collectors)
     {
-        send(host, totals, actions);
+        for (const host_id host : hosts)
+        {
+            if (host != state.settings.self)
+            {
+                send(host, totals, actions);
+            }
+        }
     }
 }
 
--- a/src/core/trees/trees.hpp
+++ b/src/core/trees/trees.hpp
@@ -13,6 +13,8 @@
 #include "ports/messages.hpp"
 
 #include <cstdint>
+#include <map>
+#include <vector>
 
 namespace cyclamenhold
 {
@@ -39,6 +41,10 @@
     time_point next_report_at{};
     time_point next_totals_at{};
     std::uint64_t last_report = 0;
+    // The hosts that may collect in each data centre, the first choice first,
+    // and the membership_state::version from which they follow.
+    std::map<data_centre_id, std::vector<host_id>> collectors;
+    std::uint64_t members_version = 0;
     // The collector to which this host reports, and its reports without a
     // reply.
     host_id reports_to = host_id::none;
