--- a/tests/core/tree_allotment_test.cpp
+++ b/tests/core/tree_allotment_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 namespace cyclamenhold
 {
 namespace
