--- a/src/core/configuration/document_calls.cpp
+++ b/src/core/configuration/document_calls.cpp
@@ -36,6 +36,10 @@
 
 duration watch_time_of(const document_state& state, bool is_long_watch)
 {
+    if (state.is_document_absent && is_long_watch)
+    {
+        return state.settings.watch_time;
+    }
     if (!is_long_watch || !state.watchers.is_watcher)
     {
         return recheck_time;
--- a/src/core/membership/digests.cpp
+++ b/src/core/membership/digests.cpp
@@ -14,6 +14,10 @@
 // Added to the exchange interval for each member, so that the cost of exchanges
 // is bounded in a fleet of any size.
 constexpr duration interval_per_member = 4ms;
+// A node that has started compares its table more often for some time: when
+// many start together, gossip does not reach those that join first.
+constexpr duration joining_time = 8s;
+constexpr duration joining_interval = 1s;
 // One exchange in this number is with another data centre.
 constexpr std::uint64_t exchanges_per_remote_exchange = 4;
 
@@ -84,6 +88,19 @@
     }
 }
 
+duration next_digest_delay(
+    const membership_state& state, time_point now, random_source& random)
+{
+    const bool is_joining = now - state.started_at < joining_time;
+    const duration interval =
+        is_joining
+            ? joining_interval
+            : state.settings.digest_interval +
+                  interval_per_member * static_cast<int>(state.members.size());
+    return interval / 2 +
+           from_seconds(to_seconds(interval) * random_fraction(random));
+}
+
 void tick_digests(
     membership_state& state, time_point now, random_source& random,
     control_actions& actions)
@@ -92,12 +109,7 @@
     {
         return;
     }
-    const duration interval =
-        state.settings.digest_interval +
-        interval_per_member * static_cast<int>(state.members.size());
-    state.timers.digest =
-        now + interval / 2 +
-        from_seconds(to_seconds(interval) * random_fraction(random));
+    state.timers.digest = now + next_digest_delay(state, now, random);
     const bool use_remote =
         state.targets.local.empty() ||
         random_below(random, exchanges_per_remote_exchange) == 0;
--- a/src/core/membership/digests.hpp
+++ b/src/core/membership/digests.hpp
@@ -20,6 +20,10 @@
     membership_state& state, host_id from, const membership_message& message,
     time_point now, control_actions& actions);
 
+// The time until the next exchange.
+[[nodiscard]] duration next_digest_delay(
+    const membership_state& state, time_point now, random_source& random);
+
 // Sends a digest to a random member when the interval has elapsed.
 void tick_digests(
     membership_state& state, time_point now, random_source& random,
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -225,6 +225,7 @@
     state.settings = settings;
     // Zero means "unknown" in messages.
     state.self_incarnation = std::max<incarnation>(self, 1);
+    state.started_at = now;
     state.last_tick = now;
     // An ack to a probe of an earlier process must match none of this one.
     state.next_sequence = random();
@@ -239,7 +240,7 @@
     state.timers.probe = spread(settings.probe_interval);
     state.timers.gossip = now;
     state.timers.remote_probe = spread(settings.remote_probe_interval);
-    state.timers.digest = spread(settings.digest_interval);
+    state.timers.digest = now + next_digest_delay(state, now, random);
     state.timers.dead_probe = spread(settings.dead_probe_interval);
     state.timers.cleanup = now + cleanup_interval;
     start_seeds(state, now, random, actions);
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -222,6 +222,7 @@
     std::map<std::uint64_t, relayed_probe> relays;
     membership_timers timers;
     seed_state seed;
+    time_point started_at{};
     time_point last_tick{};
     double gossip_budget_bytes = 0.0;
 };
--- a/src/core/trees/tree_admission.cpp
+++ b/src/core/trees/tree_admission.cpp
@@ -19,6 +19,9 @@
 // host where few arrive.
 constexpr double min_burst = 8.0;
 constexpr double burst_seconds = 0.25;
+// Traffic varies by chance, so that it may always exceed its mean by this
+// factor.
+constexpr double least_headroom = 1.2;
 // Traffic that may grow by more than this is not bounded.
 constexpr double unbounded_headroom = 8.0;
 
@@ -79,7 +82,8 @@
     {
         return true;
     }
-    const double rate = row.allotted_rate * share * headroom;
+    const double rate =
+        row.allotted_rate * share * std::max(headroom, least_headroom);
     const double burst = std::max(min_burst, rate * burst_seconds);
     const double elapsed = std::max(0.0, to_seconds(now - row.refilled_at));
     row.tokens = std::min(burst, row.tokens + rate * elapsed);
--- a/src/core/trees/tree_collector.cpp
+++ b/src/core/trees/tree_collector.cpp
@@ -12,11 +12,16 @@
 // once.
 constexpr double run_decay_seconds = 4.0;
 constexpr double demand_decay_seconds = 0.4;
-// How the usable part of a service changes each time that allotments are
-// computed: down by the part of its calls that its gates refuse, and slowly up.
+// How the usable part of a service changes at each update: down by half of the
+// part of its calls that its gates refuse, at most by a quarter, and slowly up.
+// Refusals count once they have lasted for some updates: those of a burst end
+// when its demand has reached the entries.
+constexpr duration usable_interval = 400ms;
+constexpr std::uint32_t lasting_updates = 5;
 constexpr double refusal_weight = 0.5;
-constexpr double tolerated_refusals = 0.005;
-constexpr double recovery_step = 0.01;
+constexpr double largest_decrease = 0.25;
+constexpr double tolerated_refusals = 0.02;
+constexpr double recovery_step = 0.05;
 constexpr double min_usable = 0.5;
 
 double decay_over(duration elapsed, double seconds)
@@ -101,19 +106,32 @@
         host.refused_calls, before.refused_calls, after.refused_calls, elapsed);
 }
 
-void update_usable(tree_collector& collector, const tree_totals& totals)
+void update_usable(
+    tree_collector& collector, const tree_totals& totals, time_point now)
 {
+    if (now - collector.usable_at < usable_interval)
+    {
+        return;
+    }
+    collector.usable_at = now;
     for (const auto& [service, entry] : totals.services)
     {
         const double offered = entry.started_calls + entry.refused_calls;
         const double refused =
             offered > 0.0 ? entry.refused_calls / offered : 0.0;
-        const auto [place, is_new] = collector.usable.emplace(service, 1.0);
-        double& usable = place->second;
-        usable = refused > tolerated_refusals
-                     ? usable * (1.0 - refusal_weight * refused)
-                     : usable + recovery_step;
-        usable = std::clamp(usable, min_usable, 1.0);
+        usable_part& part = collector.usable[service];
+        part.refusing_updates =
+            refused > tolerated_refusals ? part.refusing_updates + 1 : 0;
+        if (part.refusing_updates == 0)
+        {
+            part.share = std::min(1.0, part.share + recovery_step);
+        }
+        else if (part.refusing_updates >= lasting_updates)
+        {
+            const double decrease =
+                std::min(largest_decrease, refusal_weight * refused);
+            part.share = std::max(min_usable, part.share * (1.0 - decrease));
+        }
     }
 }
 
@@ -190,7 +208,7 @@
     {
         add(totals, part.totals);
     }
-    update_usable(collector, totals);
+    update_usable(collector, totals, now);
     std::map<service_id, double> capacity;
     for (const auto& [service, entry] : totals.services)
     {
@@ -198,7 +216,7 @@
         // throttle of the route reacts to its failures.
         if (entry.limit >= 1.0)
         {
-            capacity[service] = entry.limit * collector.usable[service];
+            capacity[service] = entry.limit * collector.usable[service].share;
         }
     }
     collector.allotments =
--- a/src/core/trees/tree_collector.hpp
+++ b/src/core/trees/tree_collector.hpp
@@ -7,6 +7,7 @@
 #include "core/trees/tree_counts.hpp"
 #include "core/trees/tree_totals.hpp"
 
+#include <cstdint>
 #include <map>
 
 namespace cyclamenhold
@@ -31,6 +32,14 @@
     time_point received_at{};
 };
 
+// The part of a service's slots that trees may use, and the number of updates
+// in a row at which its gates refused calls.
+struct usable_part
+{
+    double share = 1.0;
+    std::uint32_t refusing_updates = 0;
+};
+
 struct tree_collector
 {
     std::map<host_id, collected_host> hosts;
@@ -40,7 +49,8 @@
     std::map<host_id, collected_part> others;
     // The part of each service's slots that trees may use: less while its gates
     // refuse calls of admitted trees.
-    std::map<service_id, double> usable;
+    std::map<service_id, usable_part> usable;
+    time_point usable_at{};
     time_point allotted_at{};
     std::map<tree_key, tree_allotment> allotments;
 };
--- a/src/core/trees/tree_totals.cpp
+++ b/src/core/trees/tree_totals.cpp
@@ -1,5 +1,6 @@
 #include "core/trees/tree_totals.hpp"
 
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -18,6 +19,30 @@
 
 using route_parts = std::map<route_id, std::vector<route_part>>;
 
+// Runs of different routes at one upstream may expire at about the same time,
+// so that some calls are counted for the wrong one. A route with less than this
+// part of the calls in a run that another route makes there is taken to make
+// none.
+constexpr double least_part_of_calls = 0.1;
+
+// The most calls of a route in one run of any route at a service.
+using calls_in_a_run = std::map<std::pair<service_id, route_id>, double>;
+
+calls_in_a_run most_calls(const tree_totals& totals)
+{
+    calls_in_a_run most;
+    for (const auto& [key, entry] : totals.runs)
+    {
+        for (const auto& [called, calls] : entry.calls)
+        {
+            double& largest = most[{key.second, called}];
+            largest =
+                std::max(largest, entry.runs > 0.0 ? calls / entry.runs : 0.0);
+        }
+    }
+    return most;
+}
+
 route_parts parts_of(const tree_totals& totals)
 {
     std::map<route_id, double> runs;
@@ -40,6 +65,7 @@
 struct cost_reader
 {
     const route_parts& parts;
+    const calls_in_a_run& most;
     std::map<route_id, tree_cost> costs;
     // The routes above the present one. A route that calls itself is counted
     // once.
@@ -60,7 +86,13 @@
         {
             continue;
         }
-        const double per_run = weight * calls / part.totals->runs;
+        const double in_a_run = calls / part.totals->runs;
+        if (in_a_run <
+            least_part_of_calls * reader.most.at({part.service, called}))
+        {
+            continue;
+        }
+        const double per_run = weight * in_a_run;
         for (const auto& [service, seconds] : read_cost(reader, called))
         {
             cost[service] += per_run * seconds;
@@ -115,7 +147,8 @@
 tree_costs costs_of(const tree_totals& totals)
 {
     const route_parts parts = parts_of(totals);
-    cost_reader reader{parts, {}, {}};
+    const calls_in_a_run most = most_calls(totals);
+    cost_reader reader{parts, most, {}, {}};
     tree_costs costs;
     for (const auto& [route, list] : parts)
     {
--- a/tests/core/tree_allotment_test.cpp
+++ b/tests/core/tree_allotment_test.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+// Settlements run beside the calls that make inspections, and some of those
+// were counted for them: a full registry limited settlements as well.
+TEST(tree_costs, calls_that_are_counted_for_the_wrong_route)
+{
+    auto totals = auction();
+    const auto settle = route_id_of("settle");
+    totals.runs[{settle, bidding}] = {100.0, 5.0, {{inspect, 20.0}}};
+    EXPECT_FALSE(costs_of(totals).at({settle, bidding}).contains(registry));
+}
+
 TEST(tree_costs, of_a_route_with_two_services_and_of_one_that_calls_itself)
 {
     tree_totals totals;
