Lend tokens between the holders of different data centres

Callers within their limit were refused when they moved to another data centre, at a demand near the rate of a small workspace, and when the holder of their pool was lost. Each holder used only the share of its own data centre, which follows the demand within seconds; the tokens of the others stayed in their buckets.

A holder that cannot give its hosts what they request now takes tokens from holders in other data centres that have some to spare. The tokens leave the lender's bucket, so the sum over all holders stays the same. Hosts request again when the pool expects tokens, also between two ticks of 100 ms, while callers wait.

--- a/src/core/rates/rate_limiter.cpp
+++ b/src/core/rates/rate_limiter.cpp
@@ -80,7 +80,10 @@
     {
         return bucket.pool_refills_at > wait_until;
     }
-    return !limiter.has_loans && expected_wait(bucket) > wait_until - now;
+    const bool has_lenders =
+        limiter.has_loans ||
+        (bucket.role == allowance_role::holder && bucket.has_lenders);
+    return !has_lenders && expected_wait(bucket) > wait_until - now;
 }
 
 token_answer refusal_of(const token_bucket& bucket, time_point now)
@@ -110,6 +113,34 @@
     bucket.token_loans.push_back(loan);
 }
 
+// Takes up to `wanted` whole tokens that other data centres have lent.
+double take_borrowed(token_bucket& bucket, double wanted, time_point now)
+{
+    double taken = 0.0;
+    for (auto& loan : bucket.token_loans)
+    {
+        if (loan.lender == host_id::none && !loan.closed &&
+            now < loan.expires_at)
+        {
+            const double part = std::floor(
+                std::min(wanted - taken, loan.tokens) + token_epsilon);
+            loan.tokens = std::max(0.0, loan.tokens - part);
+            taken += part;
+        }
+    }
+    return taken;
+}
+
+double take_whole(token_bucket& bucket, double wanted, double kept)
+{
+    const double free =
+        bucket.tokens - static_cast<double>(bucket.waiters.size()) - kept;
+    const double lent =
+        std::max(0.0, std::floor(std::min(wanted, free) + token_epsilon));
+    bucket.tokens = std::max(0.0, bucket.tokens - lent);
+    return lent;
+}
+
 } // namespace
 
 token_answer
@@ -288,53 +319,36 @@
     }
     token_bucket& bucket = found->second;
     refill(bucket, now);
-    const double free =
-        bucket.tokens - static_cast<double>(bucket.waiters.size());
-    const double lent =
-        std::max(0.0, std::floor(std::min(wanted, free) + token_epsilon));
-    bucket.tokens = std::max(0.0, bucket.tokens - lent);
-    return lent;
+    const double borrowed =
+        bucket.waiters.empty() ? take_borrowed(bucket, wanted, now) : 0.0;
+    return borrowed + take_whole(bucket, wanted - borrowed, 0.0);
 }
 
-void add_pool_tokens(
-    rate_limiter& limiter, workspace_id workspace, double tokens,
-    time_point expires_at, time_point now)
+double lend_spare_tokens(
+    rate_limiter& limiter, workspace_id workspace, double wanted, double kept,
+    time_point now)
 {
     const std::scoped_lock lock(limiter.mutex);
     const auto found = limiter.buckets.find(workspace);
     if (found == limiter.buckets.end())
     {
-        return;
-    }
-    push_pool_tokens(found->second, tokens, expires_at, now);
-}
-
-void set_pool_refill(
-    rate_limiter& limiter, workspace_id workspace, time_point refills_at)
-{
-    const std::scoped_lock lock(limiter.mutex);
-    if (const auto found = limiter.buckets.find(workspace);
-        found != limiter.buckets.end())
-    {
-        found->second.pool_refills_at = refills_at;
+        return 0.0;
     }
+    refill(found->second, now);
+    return take_whole(found->second, wanted, kept);
 }
 
-std::vector<outside_admissions>
-take_admissions_outside_pool(rate_limiter& limiter)
+void add_pool_tokens(
+    rate_limiter& limiter, workspace_id workspace, double tokens,
+    time_point expires_at, time_point now)
 {
     const std::scoped_lock lock(limiter.mutex);
-    std::vector<outside_admissions> admissions;
-    for (auto& [workspace, bucket] : limiter.buckets)
+    const auto found = limiter.buckets.find(workspace);
+    if (found == limiter.buckets.end())
     {
-        if (bucket.admitted_outside_pool != 0)
-        {
-            admissions.push_back(
-                {workspace, bucket.role,
-                 std::exchange(bucket.admitted_outside_pool, 0U)});
-        }
+        return;
     }
-    return admissions;
+    push_pool_tokens(found->second, tokens, expires_at, now);
 }
 
 token_demand
--- a/src/core/rates/rate_limiter.hpp
+++ b/src/core/rates/rate_limiter.hpp
@@ -108,6 +108,8 @@
     allowance_role role = allowance_role::weight;
     // If `role` is `pooled`: the pool expects no tokens before.
     time_point pool_refills_at{};
+    // If `role` is `holder`: holders in other data centres may lend tokens.
+    bool has_lenders = false;
     std::vector<token_loan> token_loans;
     std::deque<waiting_request> waiters;
     // Requests for a token since the last sample_demand.
@@ -205,12 +207,24 @@
 void add_token_loan(
     rate_limiter& limiter, workspace_id workspace, token_loan loan);
 
-// Takes up to `wanted` whole tokens from the node's own allowance, for another
-// host. Waiting requests of this host come first.
+// Takes up to `wanted` whole tokens for another host of this data centre, from
+// those that other data centres have lent and from the node's own allowance.
+// Waiting requests of this host come first.
 [[nodiscard]] double lend_tokens(
     rate_limiter& limiter, workspace_id workspace, double wanted,
     time_point now);
 
+// Takes up to `wanted` whole tokens of the node's own allowance for another
+// data centre, and leaves `kept` tokens.
+[[nodiscard]] double lend_spare_tokens(
+    rate_limiter& limiter, workspace_id workspace, double wanted, double kept,
+    time_point now);
+
+// Whether holders in other data centres may lend tokens, so that requests wait
+// for more than the own rate brings.
+void set_lenders(
+    rate_limiter& limiter, workspace_id workspace, bool has_lenders);
+
 // Adds tokens of a pool, which can be used until `expires_at`.
 void add_pool_tokens(
     rate_limiter& limiter, workspace_id workspace, double tokens,
--- a/src/core/rates/rates_context.hpp
+++ b/src/core/rates/rates_context.hpp
@@ -91,6 +91,12 @@
 void on_pool_reply(
     rates_context& context, host_id from,
     const wire::rates::pool_reply_data& in);
+void on_pool_loan_request(
+    rates_context& context, host_id from,
+    const wire::rates::pool_request_data& in);
+void on_pool_loan_reply(
+    rates_context& context, const sent_pool_request& sent,
+    const wire::rates::pool_reply_data& in);
 void on_demand_report(
     rates_context& context, host_id from,
     const wire::rates::demand_report_data& in);
--- a/src/core/rates/token_loans.cpp
+++ b/src/core/rates/token_loans.cpp
@@ -67,4 +67,43 @@
     }
 }
 
+void set_lenders(
+    rate_limiter& limiter, workspace_id workspace, bool has_lenders)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    if (const auto found = limiter.buckets.find(workspace);
+        found != limiter.buckets.end())
+    {
+        found->second.has_lenders = has_lenders;
+    }
+}
+
+void set_pool_refill(
+    rate_limiter& limiter, workspace_id workspace, time_point refills_at)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    if (const auto found = limiter.buckets.find(workspace);
+        found != limiter.buckets.end())
+    {
+        found->second.pool_refills_at = refills_at;
+    }
+}
+
+std::vector<outside_admissions>
+take_admissions_outside_pool(rate_limiter& limiter)
+{
+    const std::scoped_lock lock(limiter.mutex);
+    std::vector<outside_admissions> admissions;
+    for (auto& [workspace, bucket] : limiter.buckets)
+    {
+        if (bucket.admitted_outside_pool != 0)
+        {
+            admissions.push_back(
+                {workspace, bucket.role,
+                 std::exchange(bucket.admitted_outside_pool, 0U)});
+        }
+    }
+    return admissions;
+}
+
 } // namespace cyclamenhold
--- a/src/core/rates/token_pools.cpp
+++ b/src/core/rates/token_pools.cpp
@@ -1,5 +1,6 @@
 #include "core/rates/token_pools.hpp"
 
+#include "core/rates/pool_loans.hpp"
 #include "core/rates/rates_context.hpp"
 
 #include <algorithm>
@@ -53,21 +54,6 @@
     demand.sampled_at = now;
 }
 
-bool is_silent(const token_pool_state& pools, host_id host)
-{
-    const auto found = pools.contacts.find(host);
-    return found != pools.contacts.end() &&
-           found->second.silent_since != time_point{};
-}
-
-bool is_declined(const rates_context& context, host_id host)
-{
-    const auto& contacts = context.state.pools.contacts;
-    const auto found = contacts.find(host);
-    return found != contacts.end() &&
-           context.now < found->second.declined_until;
-}
-
 // The host to request tokens of a shard from; none while all are silent and
 // none is due for a trial.
 host_id select_pool(rates_context& context, std::uint32_t shard)
@@ -111,13 +97,14 @@
 // arrivals.
 void add_item(
     rates_context& context, pool_requests& requests, workspace_id id,
-    double wanted)
+    double wanted, bool has_waiters)
 {
     entry_demand& demand = context.state.pools.entering[id];
     const bool is_due = wanted >= 1.0 && context.now >= demand.next_request_at;
     const bool is_report_due =
         demand.unreported > 0.0 &&
         context.now - demand.reported_at >= report_interval;
+    demand.has_waiters = has_waiters && !is_due;
     if (demand.request != 0 || (!is_due && !is_report_due))
     {
         return;
@@ -214,33 +201,16 @@
             context.now < pools.requested_until[shard]);
 }
 
-std::optional<duration>
-silence_of_pools(const rates_context& context, std::uint32_t shard)
-{
-    const auto& pools = context.state.pools;
-    duration silence = duration::max();
-    for (const host_id host : pools.hosts.local[shard])
-    {
-        if (!is_silent(pools, host))
-        {
-            return std::nullopt;
-        }
-        silence = std::min(
-            silence, context.now - pools.contacts.at(host).silent_since);
-    }
-    return pools.hosts.local[shard].empty() ? duration::zero() : silence;
-}
-
 void tick_token_pools(rates_context& context)
 {
     rates_state& state = context.state;
     expire_requests(context);
-    std::erase_if(
-        state.pools.entering,
-        [&state](const auto& entry)
-        {
-            return !state.workspaces.contains(entry.first);
-        });
+    const auto is_deleted = [&state](const auto& entry)
+    {
+        return !state.workspaces.contains(entry.first);
+    };
+    std::erase_if(state.pools.entering, is_deleted);
+    std::erase_if(state.pools.borrowing, is_deleted);
     pool_requests requests;
     for (const auto& [id, settings] : state.workspaces)
     {
@@ -257,15 +227,19 @@
         {
             state.pools.pool_arrivals[id] +=
                 std::exchange(demand.unreported, 0.0);
+            demand.has_waiters = false;
+            note_own_waiters(context, id, sample.waiting - sample.available);
             continue;
         }
         const double expected =
             std::floor(demand.rate * to_seconds(demand_horizon));
         add_item(
             context, requests, id,
-            std::ceil(sample.waiting + expected - sample.available));
+            std::ceil(sample.waiting + expected - sample.available),
+            sample.waiting > 0.0);
     }
     send_requests(context, requests);
+    request_pool_loans(context);
 }
 
 time_point token_pools_due(const rates_state& state)
@@ -278,6 +252,13 @@
             due = std::min(due, sent.sent_at + pool_request_timeout);
         }
     }
+    for (const auto& [id, demand] : state.pools.entering)
+    {
+        if (demand.has_waiters && demand.request == 0)
+        {
+            due = std::min(due, demand.next_request_at);
+        }
+    }
     return due;
 }
 
@@ -286,6 +267,11 @@
     const wire_rates::pool_request_data& in)
 {
     rates_state& state = context.state;
+    if (is_in_other_data_centre(context, from))
+    {
+        on_pool_loan_request(context, from, in);
+        return;
+    }
     wire_rates::pool_reply_data reply;
     reply.request = in.request;
     reply.declined = state.leaving || is_starting(context);
@@ -313,9 +299,12 @@
             lend_tokens(context.inputs.limiter, id, wanted, context.now);
         const auto level =
             bucket_refusal(context.inputs.limiter, id, context.now).level;
-        const duration wait = amount >= wanted
-                                  ? duration::zero()
-                                  : retry_delay(1.0 - level.tokens, level.rate);
+        const duration refill =
+            amount >= wanted ? duration::zero()
+                             : retry_delay(1.0 - level.tokens, level.rate);
+        const duration wait = note_unmet(context, id, wanted - amount)
+                                  ? std::min(refill, duration(pool_loan_delay))
+                                  : refill;
         reply.grants.emplace_back(
             item.workspace(), static_cast<float>(amount),
             static_cast<std::uint32_t>(to_microseconds(wait)));
@@ -323,6 +312,7 @@
     wire_rates::bodyUnion body;
     body.Set(std::move(reply));
     send_rates_datagram(context, from, std::move(body));
+    request_pool_loans(context);
 }
 
 void on_pool_reply(
@@ -339,8 +329,14 @@
     {
         return;
     }
-    const time_point expires_at = found->second.sent_at + pool_token_term;
+    const sent_pool_request sent = found->second;
+    const time_point expires_at = sent.sent_at + pool_token_term;
     pools.sent.erase(found);
+    if (sent.is_loan)
+    {
+        on_pool_loan_reply(context, sent, in);
+        return;
+    }
     for (const auto& grant : in.grants)
     {
         const auto id = static_cast<workspace_id>(grant.workspace());
--- a/src/core/rates/token_pools.hpp
+++ b/src/core/rates/token_pools.hpp
@@ -35,6 +35,21 @@
     std::uint64_t request = 0;
     // The pool expects no tokens before.
     time_point next_request_at{};
+    // Callers wait for that time.
+    bool has_waiters = false;
+};
+
+// A request for tokens between holders of different data centres.
+struct borrowed_tokens
+{
+    // Tokens that hosts of this data centre have requested and not received.
+    double unmet = 0.0;
+    // Id of the request to a lender that is waited for; 0 when there is none.
+    std::uint64_t request = 0;
+    // The last one that lent tokens.
+    host_id lender = host_id::none;
+    // A lender expects to have no tokens to spare before.
+    std::map<host_id, time_point> empty_until;
 };
 
 // A request that was sent to a pool. Its answer is used until the tokens
@@ -45,6 +60,8 @@
     time_point sent_at{};
     // The answer did not come within pool_request_timeout.
     bool is_late = false;
+    // Sent to a holder in another data centre.
+    bool is_loan = false;
 };
 
 // This host's contact with a pool of its data centre.
@@ -62,6 +79,8 @@
 {
     pool_hosts hosts;
     std::map<workspace_id, entry_demand> entering;
+    // Of the pools of this host.
+    std::map<workspace_id, borrowed_tokens> borrowing;
     std::map<host_id, pool_contact> contacts;
     std::map<std::uint64_t, sent_pool_request> sent;
     std::uint64_t last_request = 0;
@@ -77,6 +96,12 @@
 // A request to a pool without an answer for this time is sent again.
 constexpr duration pool_request_timeout = 80ms;
 
+// Whether a pool host has left requests unanswered.
+[[nodiscard]] bool is_silent(const token_pool_state& pools, host_id host);
+
+// Whether a host has declined to hold pools a moment ago.
+[[nodiscard]] bool is_declined(const rates_context& context, host_id host);
+
 // Whether this host has just started and may not know all others.
 [[nodiscard]] bool is_starting(const rates_context& context);
 
--- a/tests/core/token_pools_test.cpp
+++ b/tests/core/token_pools_test.cpp
@@ -132,6 +132,29 @@
     }
 }
 
+// Guards against callers of a whole data centre who get nothing for two seconds
+// because the host that replaces a lost holder may not use the share yet.
+TEST(token_pools, other_data_centres_lend_when_a_holder_is_lost)
+{
+    large_fleet large(96, 100.0);
+    large.fleet.run_random(large.usual, 5s);
+    const host_id holder =
+        large.fleet.hosts[0]->rates.pools.hosts.local[shard_of(school)][0];
+    const auto position = static_cast<std::size_t>(holder) - 1;
+    large.fleet.is_down[position] = true;
+    // All callers are in the data centre of the lost holder.
+    std::vector<double> demand(96, 0.0);
+    for (std::size_t i = 0; i < demand.size(); i += 5)
+    {
+        demand[i] = i == position ? 0.0 : 0.4 * 100.0 / 19.0;
+    }
+    const auto lost = large.fleet.run_on(demand, 2s);
+    RecordProperty("refused", std::to_string(refused_fraction(lost)));
+    EXPECT_LE(refused_fraction(lost), 0.25);
+    const auto surge = large.fleet.run_on(large.demand(7.5), 5s);
+    EXPECT_LE(surge.max_in_window, large.allowed);
+}
+
 // Guards against a host that admits nothing because it cannot reach its pool,
 // and against the sum of such hosts and the pools exceeding the bound.
 TEST(token_pools, hosts_that_are_cut_off_use_their_own_part)
