End the retention of an evacuation with a list that drops it

After the store had returned from an older copy, an evacuation that operators wrote again and removed stayed in force for up to 15 s on hosts that follow others or list the entries again: only a removal seen in a watch ended the retention. A list of the present era that lacks an entry of the list before it shows the same removal.

--- a/src/core/placement/evacuations.cpp
+++ b/src/core/placement/evacuations.cpp
@@ -17,15 +17,22 @@
                : data_centre_id::none;
 }
 
-// Replaces the list. Those of an earlier era that it lacks are retained.
+// Replaces the list. Those of an earlier era that it lacks are retained; those
+// of the same era were removed, in the present one.
 void replace_list(evacuation_state& state, evacuation_list next, time_point now)
 {
-    if (next.era > state.current.era && state.current.revision != 0)
+    const bool is_new_era =
+        next.era > state.current.era && state.current.revision != 0;
+    for (const auto data_centre : state.current.data_centres)
     {
-        for (const auto data_centre : state.current.data_centres)
+        if (is_new_era)
         {
             state.retained[data_centre] = now + evacuation_retention;
         }
+        else if (!std::ranges::binary_search(next.data_centres, data_centre))
+        {
+            state.retained.erase(data_centre);
+        }
     }
     state.current = std::move(next);
 }
--- a/tests/core/evacuations_test.cpp
+++ b/tests/core/evacuations_test.cpp
@@ -139,6 +139,24 @@
         evacuated_data_centres(state, start + evacuation_retention), ids{});
 }
 
+// A node that follows others does not see the removal itself, only a list
+// without the entry: it refused requests until the retention was over.
+TEST(evacuations, of_an_earlier_era_end_with_a_list_that_drops_them)
+{
+    evacuation_state state;
+    const time_point now{100s};
+    merge_evacuations(state, {1, 40, {graz}}, now);
+    merge_evacuations(state, {2, 10, {}}, now);
+    merge_evacuations(state, {2, 12, {wien}}, now);
+    EXPECT_EQ(evacuated_data_centres(state, now), sorted({graz, wien}));
+    {
+        SCOPED_TRACE("written again and removed");
+        merge_evacuations(state, {2, 14, sorted({graz, wien})}, now);
+        merge_evacuations(state, {2, 15, {wien}}, now);
+        EXPECT_EQ(evacuated_data_centres(state, now), ids{wien});
+    }
+}
+
 TEST(evacuations, older_lists_change_nothing)
 {
     evacuation_state state;
