Bound the list of evacuations where it is made

A message of a member with more than 32 evacuated data centres was refused as a whole, but nothing bounded the list: with 33 entries below the operators' prefix all membership messages of nodes that had read them were unreadable to the others, who would have considered each other lost. The list itself has a bound now, 128, the same as the reader's.

--- a/src/core/membership/membership_wire.cpp
+++ b/src/core/membership/membership_wire.cpp
@@ -15,7 +15,6 @@
 // status and service name.
 constexpr std::size_t record_overhead = 64;
 constexpr std::size_t max_service_name_size = 255;
-constexpr std::size_t max_evacuated = 32;
 
 wire_format::member_status to_wire(const member_status_report& report)
 {
--- a/src/core/placement/evacuations.cpp
+++ b/src/core/placement/evacuations.cpp
@@ -40,7 +40,8 @@
 void insert_sorted(std::vector<data_centre_id>& list, data_centre_id id)
 {
     const auto place = std::ranges::lower_bound(list, id);
-    if (place == list.end() || *place != id)
+    const bool is_listed = place != list.end() && *place == id;
+    if (!is_listed && list.size() < max_evacuated)
     {
         list.insert(place, id);
     }
--- a/src/core/placement/evacuations.hpp
+++ b/src/core/placement/evacuations.hpp
@@ -8,6 +8,7 @@
 #include "core/base/time.hpp"
 #include "ports/platform.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -35,6 +36,10 @@
 [[nodiscard]] bool
 is_newer(const evacuation_list& left, const evacuation_list& right);
 
+// Entries beyond this number have no effect, which bounds the messages that
+// contain the list.
+constexpr std::size_t max_evacuated = 128;
+
 struct evacuation_state
 {
     evacuation_list current;
--- a/tests/core/evacuations_test.cpp
+++ b/tests/core/evacuations_test.cpp
@@ -1,5 +1,6 @@
 // How nodes learn of evacuations: from the store, with the document, and from
 // each other.
+#include "core/membership/membership_wire.hpp"
 #include "support/document_fixture.hpp"
 #include "support/virtual_fleet.hpp"
 
@@ -157,6 +158,32 @@
     }
 }
 
+// A list that was longer than a message may contain made all messages of the
+// members unreadable to each other.
+TEST(evacuations, that_are_too_many_leave_the_messages_readable)
+{
+    evacuation_state state;
+    const time_point now{100s};
+    std::vector<platform_entry> entries;
+    for (std::uint64_t i = 0; i < 500; ++i)
+    {
+        entries.push_back({prefix + std::to_string(i), "", i + 1});
+    }
+    const auto reads_back = [&state]
+    {
+        membership_message message;
+        message.sender = {make_host_id(1, 1), 1, 0, graz, member_state::alive};
+        message.evacuations = state.current;
+        const auto read = decode_membership_message(encode(message));
+        return read && read->evacuations == state.current;
+    };
+    EXPECT_TRUE(reads_back());
+    apply_evacuation_changes(state, prefix, entries, 1, now);
+    EXPECT_TRUE(reads_back());
+    apply_evacuation_entries(state, prefix, entries, 1, 600, now);
+    EXPECT_TRUE(reads_back());
+}
+
 TEST(evacuations, older_lists_change_nothing)
 {
     evacuation_state state;
