Keep watching for the first document when an evacuation is written

The reply with an evacuation counted as one with a document. The node read the document, found none, and watched from the revision of its list again, which returned the same evacuation at once, and so on until there was a document, with only the shortest backoff between.

--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -166,14 +166,25 @@
     return chain.current->revision != 0;
 }
 
+bool contains_document(const document_state& state, const platform_reply& reply)
+{
+    return std::ranges::any_of(
+        reply.entries,
+        [&state](const platform_entry& entry)
+        {
+            return entry.key == state.settings.key;
+        });
+}
+
 // Watches for the first document, from the revision of a list: a read that
 // finds nothing has no revision. A document that can't be parsed is read again.
 void await_document(
     document_state& state, const platform_reply& reply, time_point now,
     control_actions& actions)
 {
-    const bool is_empty =
-        reply.status == platform_status::not_found || reply.entries.empty();
+    // A watch also returns other entries of operators.
+    const bool is_empty = reply.status == platform_status::not_found ||
+                          !contains_document(state, reply);
     state.is_document_absent =
         is_empty && (!state.is_watch || state.is_document_absent);
     if (!state.is_document_absent)
@@ -207,13 +218,7 @@
             reply.era, reply.revision, now);
     }
     state.listed_revision = std::max<std::uint64_t>(reply.revision, 1);
-    const bool has_document = std::ranges::any_of(
-        reply.entries,
-        [&state](const platform_entry& entry)
-        {
-            return entry.key == state.settings.key;
-        });
-    if (state.is_document_absent && !has_document)
+    if (state.is_document_absent && !contains_document(state, reply))
     {
         state.platform_revision = state.listed_revision;
     }
--- a/tests/core/evacuations_test.cpp
+++ b/tests/core/evacuations_test.cpp
@@ -184,6 +184,29 @@
     EXPECT_TRUE(reads_back());
 }
 
+// An evacuation that was written before the first document made the node read
+// and watch in turn without a pause.
+TEST(evacuations, before_the_first_document_are_watched_once)
+{
+    evacuation_fixture node;
+    auto call = *node.next_call();
+    ASSERT_EQ(call.operation, platform_operation::list);
+    node.answer(call, platform_status::ok, {}, 40);
+    call = *node.next_call();
+    ASSERT_EQ(call.operation, platform_operation::get);
+    node.answer(call, platform_status::not_found);
+    call = *node.next_call();
+    ASSERT_EQ(call.operation, platform_operation::watch);
+    node.answer(call, platform_status::ok, {{prefix + "graz", "", 42}}, 42);
+    EXPECT_EQ(node.evacuated(), ids{graz});
+    call = *node.next_call();
+    EXPECT_EQ(call.operation, platform_operation::watch);
+    EXPECT_EQ(call.expected_version, 42U);
+    node.answer(
+        call, platform_status::ok, {{"op/config", "version 8", 45}}, 45);
+    EXPECT_EQ(node.chain.current->revision, 8U);
+}
+
 TEST(evacuations, older_lists_change_nothing)
 {
     evacuation_state state;
