Keep an upstream cold that a reply called cold, despite an older announcement

An announcement that was sent just before the upstream became cold, and arrived just after its reply had said so, ended the bound: the gate started requests at the full rate until the next sign. As after an evacuation, one that arrives within half a second does not end it.

--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -156,6 +156,7 @@
         return std::nullopt;
     }
     const bool is_new = update_warm_up(monitor, remaining, now);
+    monitor.cold_known_from = now + announcement_delay;
     return is_new ? std::optional(monitor.record) : std::nullopt;
 }
 
--- a/tests/platform/cold_upstream_test.cpp
+++ b/tests/platform/cold_upstream_test.cpp
@@ -77,6 +77,19 @@
     EXPECT_TRUE(check_upstream(monitor, start + 2500ms));
 }
 
+// A heartbeat that was sent before the upstream became cold ended the bound
+// that its reply had begun.
+TEST(cold_upstream, a_heartbeat_on_its_way_does_not_end_what_a_reply_says)
+{
+    upstream_monitor monitor;
+    ASSERT_TRUE(beat(monitor, 1, 0.0, start));
+    ASSERT_TRUE(on_cold(monitor, 3s, start + 1s));
+    EXPECT_FALSE(beat(monitor, 2, 0.0, start + 1100ms));
+    EXPECT_EQ(monitor.record.state, upstream_state::warming);
+    EXPECT_TRUE(beat(monitor, 3, 0.0, start + 2s));
+    EXPECT_EQ(monitor.record.state, upstream_state::serving);
+}
+
 // After a time without requests an upstream may be cold although its last
 // heartbeat said that it is not (FAILBACK).
 TEST(cold_upstream, it_is_assumed_cold_until_a_later_heartbeat)
