Let announcements without an id warm an upstream up only once

Later announcements of a process change its warm-up since cold upstreams are bounded. Those of the project's own interface have no id and name the whole warm-up time, or only at first: repeated ones kept an upstream warming for ever, or ended its warm-up at the second announcement. They count only at the start of a process again, and at the end of an assumption.

--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -88,6 +88,15 @@
     return std::exchange(monitor.record.state, state) != state;
 }
 
+// Whether a later announcement of a process tells how long it stays cold. Those
+// without an id name the whole time since its start, if any; they only end an
+// assumption.
+bool says_what_remains(
+    const upstream_monitor& monitor, const upstream_announcement& announcement)
+{
+    return !announcement.id.empty() || monitor.cold_known_from != time_point{};
+}
+
 bool is_accepting(const upstream_monitor& monitor)
 {
     return monitor.record.state == upstream_state::warming ||
@@ -122,6 +131,7 @@
     }
     const upstream_record& announced = announcement.record;
     const bool is_rewarmed = is_accepting(monitor) &&
+                             says_what_remains(monitor, announcement) &&
                              update_warm_up(monitor, announcement.warm_up, now);
     const bool is_resized =
         monitor.record.slots != announced.slots ||
@@ -156,7 +166,10 @@
         return std::nullopt;
     }
     const bool is_new = update_warm_up(monitor, remaining, now);
-    monitor.cold_known_from = now + announcement_delay;
+    if (!monitor.id.empty())
+    {
+        monitor.cold_known_from = now + announcement_delay;
+    }
     return is_new ? std::optional(monitor.record) : std::nullopt;
 }
 
--- a/tests/platform/cold_upstream_test.cpp
+++ b/tests/platform/cold_upstream_test.cpp
@@ -90,6 +90,41 @@
     EXPECT_EQ(monitor.record.state, upstream_state::serving);
 }
 
+// Upstreams without an id name their whole warm-up time, or do so only in their
+// first announcement; later ones must neither prolong nor end it.
+TEST(cold_upstream, announcements_without_an_id_warm_up_once)
+{
+    upstream_monitor monitor;
+    upstream_announcement announcement;
+    announcement.record = {"shop", upstream_state::serving, 175, 175, 0, 0.0};
+    announcement.warm_up = 10s;
+    ASSERT_TRUE(on_announcement(monitor, announcement, start));
+    for (const auto warm_up : {0s, 10s})
+    {
+        SCOPED_TRACE("a later one");
+        announcement.warm_up = warm_up;
+        EXPECT_FALSE(on_announcement(monitor, announcement, start + 6s));
+        EXPECT_EQ(monitor.record.state, upstream_state::warming);
+    }
+    ASSERT_TRUE(check_upstream(monitor, start + 10s));
+    EXPECT_FALSE(on_announcement(monitor, announcement, start + 12s));
+    EXPECT_EQ(monitor.record.state, upstream_state::serving);
+    {
+        SCOPED_TRACE("what a reply says");
+        ASSERT_TRUE(on_cold(monitor, 3s, start + 20s));
+        announcement.warm_up = 0s;
+        EXPECT_FALSE(on_announcement(monitor, announcement, start + 22s));
+        EXPECT_TRUE(check_upstream(monitor, start + 23s));
+    }
+    {
+        SCOPED_TRACE("one that was assumed to be cold is not so for ever");
+        ASSERT_TRUE(suspect_cold(monitor, start + 24s));
+        announcement.warm_up = 0s;
+        EXPECT_TRUE(on_announcement(monitor, announcement, start + 25s));
+        EXPECT_EQ(monitor.record.state, upstream_state::serving);
+    }
+}
+
 // After a time without requests an upstream may be cold although its last
 // heartbeat said that it is not (FAILBACK).
 TEST(cold_upstream, it_is_assumed_cold_until_a_later_heartbeat)
