--- a/tests/platform/cold_upstream_test.cpp
+++ b/tests/platform/cold_upstream_test.cpp
@@ -125,6 +125,25 @@
     }
 }
 
+// An unreadable time counted as none and ended the bound of a cold upstream.
+TEST(cold_upstream, heartbeats_with_an_unreadable_time_name_no_upstream)
+{
+    const auto parse = [](const std::string& cold)
+    {
+        return parse_upstream_message(
+            "POST", "/instances/i-1/heartbeat",
+            R"({"address":"10.1.0.9:8080","born":1000,"info":{"service":)"
+            R"("shop","slots":175},"status":{"state":"ready","seq":1,)"
+            R"("coldRemainingS":)" +
+                cold + "}}");
+    };
+    EXPECT_TRUE(std::holds_alternative<upstream_announcement>(parse("0.5")));
+    for (const char* odd : {"\"1\"", "-1", "null", "[2]", "1e300"})
+    {
+        EXPECT_TRUE(std::holds_alternative<findings>(parse(odd))) << odd;
+    }
+}
+
 // After a time without requests an upstream may be cold although its last
 // heartbeat said that it is not (FAILBACK).
 TEST(cold_upstream, it_is_assumed_cold_until_a_later_heartbeat)
