--- a/src/core/gate/gate.hpp
+++ b/src/core/gate/gate.hpp
@@ -65,7 +65,7 @@
     // their deadline, so that their callers receive the not-run outcome while
     // they still wait.
     bool refuses_before_deadline = false;
-    cold_tolerance cold;
+    cold_tolerance cold{};
 };
 
 struct gate_state
