--- a/tests/core/evacuations_test.cpp
+++ b/tests/core/evacuations_test.cpp
@@ -1,5 +1,6 @@
 // How nodes learn of evacuations: from the store, with the document, and from
 // each other.
+#include "core/membership/membership_wire.hpp"
 #include "support/document_fixture.hpp"
 #include "support/virtual_fleet.hpp"
 
@@ -139,6 +140,73 @@
         evacuated_data_centres(state, start + evacuation_retention), ids{});
 }
 
+// A node that follows others does not see the removal itself, only a list
+// without the entry: it refused requests until the retention was over.
+TEST(evacuations, of_an_earlier_era_end_with_a_list_that_drops_them)
+{
+    evacuation_state state;
+    const time_point now{100s};
+    merge_evacuations(state, {1, 40, {graz}}, now);
+    merge_evacuations(state, {2, 10, {}}, now);
+    merge_evacuations(state, {2, 12, {wien}}, now);
+    EXPECT_EQ(evacuated_data_centres(state, now), sorted({graz, wien}));
+    {
+        SCOPED_TRACE("written again and removed");
+        merge_evacuations(state, {2, 14, sorted({graz, wien})}, now);
+        merge_evacuations(state, {2, 15, {wien}}, now);
+        EXPECT_EQ(evacuated_data_centres(state, now), ids{wien});
+    }
+}
+
+// A list that was longer than a message may contain made all messages of the
+// members unreadable to each other.
+TEST(evacuations, that_are_too_many_leave_the_messages_readable)
+{
+    evacuation_state state;
+    const time_point now{100s};
+    std::vector<platform_entry> entries;
+    for (std::uint64_t i = 0; i < 500; ++i)
+    {
+        entries.push_back({prefix + std::to_string(i), "", i + 1});
+    }
+    const auto reads_back = [&state]
+    {
+        membership_message message;
+        message.sender = {make_host_id(1, 1), 1, 0, graz, member_state::alive};
+        message.evacuations = state.current;
+        const auto read = decode_membership_message(encode(message));
+        return read && read->evacuations == state.current;
+    };
+    EXPECT_TRUE(reads_back());
+    apply_evacuation_changes(state, prefix, entries, 1, now);
+    EXPECT_TRUE(reads_back());
+    apply_evacuation_entries(state, prefix, entries, 1, 600, now);
+    EXPECT_TRUE(reads_back());
+}
+
+// An evacuation that was written before the first document made the node read
+// and watch in turn without a pause.
+TEST(evacuations, before_the_first_document_are_watched_once)
+{
+    evacuation_fixture node;
+    auto call = *node.next_call();
+    ASSERT_EQ(call.operation, platform_operation::list);
+    node.answer(call, platform_status::ok, {}, 40);
+    call = *node.next_call();
+    ASSERT_EQ(call.operation, platform_operation::get);
+    node.answer(call, platform_status::not_found);
+    call = *node.next_call();
+    ASSERT_EQ(call.operation, platform_operation::watch);
+    node.answer(call, platform_status::ok, {{prefix + "graz", "", 42}}, 42);
+    EXPECT_EQ(node.evacuated(), ids{graz});
+    call = *node.next_call();
+    EXPECT_EQ(call.operation, platform_operation::watch);
+    EXPECT_EQ(call.expected_version, 42U);
+    node.answer(
+        call, platform_status::ok, {{"op/config", "version 8", 45}}, 45);
+    EXPECT_EQ(node.chain.current->revision, 8U);
+}
+
 TEST(evacuations, older_lists_change_nothing)
 {
     evacuation_state state;
