Use reports and allotments until the next ones come

In a data centre of 1,037 hosts a host reports each 2.07 s, but an allotment held for 1.5 s and a report for 2 s: 210 of 750 requests that came in turn found no allotment, and the host's demand and slots were missing at 21 of 750 times. Both now last two and a half intervals at least: none of 750 (virtual clock, tests/core/tree_counts_test.cpp).

--- a/src/core/trees/tree_admission.cpp
+++ b/src/core/trees/tree_admission.cpp
@@ -100,7 +100,7 @@
 
 void set_allotment(
     tree_admission& admission, const tree_key& key,
-    const tree_allotment& allotment, time_point now)
+    const tree_allotment& allotment, time_point now, duration term)
 {
     const std::scoped_lock lock(admission.mutex);
     admission_row& row = admission.rows[key];
@@ -111,7 +111,7 @@
     }
     row.allotment = allotment;
     row.allotted_rate = rate_at(row, now);
-    row.valid_until = now + allotment_term;
+    row.valid_until = now + term;
 }
 
 tree_verdict admit_tree(
--- a/src/core/trees/tree_admission.hpp
+++ b/src/core/trees/tree_admission.hpp
@@ -48,12 +48,14 @@
     refused
 };
 
-// An allotment is used for this time.
+// An allotment is used for this time where hosts report at the shortest
+// interval.
 constexpr duration allotment_term = 1500ms;
 
 void set_allotment(
     tree_admission& admission, const tree_key& key,
-    const tree_allotment& allotment, time_point now);
+    const tree_allotment& allotment, time_point now,
+    duration term = allotment_term);
 
 // Decides on a root request. Lower slots go first, so that workspaces share
 // what is admitted evenly; see draw_slot.
--- a/src/core/trees/tree_collector.cpp
+++ b/src/core/trees/tree_collector.cpp
@@ -173,7 +173,7 @@
     totals.runs = collector.runs;
     for (const auto& [id, host] : collector.hosts)
     {
-        if (now - host.received_at > collected_term)
+        if (now - host.received_at > collector.report_term)
         {
             continue;
         }
--- a/src/core/trees/tree_collector.hpp
+++ b/src/core/trees/tree_collector.hpp
@@ -40,6 +40,9 @@
     std::uint32_t refusing_updates = 0;
 };
 
+// Totals without a successor for this time no longer count.
+constexpr duration collected_term = 2s;
+
 struct tree_collector
 {
     std::map<host_id, collected_host> hosts;
@@ -53,11 +56,11 @@
     time_point usable_at{};
     time_point allotted_at{};
     std::map<tree_key, tree_allotment> allotments;
+    // Reports without a successor for this time no longer count. Longer where
+    // hosts report less often.
+    duration report_term = collected_term;
 };
 
-// Reports and totals without a successor for this time no longer count.
-constexpr duration collected_term = 2s;
-
 void collect_counts(
     tree_collector& collector, host_id host, incarnation host_incarnation,
     const host_counts& counts, time_point now);
--- a/src/core/trees/trees.cpp
+++ b/src/core/trees/trees.cpp
@@ -29,6 +29,13 @@
     return from_seconds(to_seconds(tree_report_interval) * factor);
 }
 
+// How long a report or an allotment is used: until the next one but one at
+// least.
+duration term_of(const trees_inputs& inputs, duration shortest)
+{
+    return std::max(shortest, report_interval(inputs) * 5 / 2);
+}
+
 // The hosts that rank first and second in each data centre, as far as this host
 // knows them. The first collects, the second takes its place.
 std::map<data_centre_id, std::vector<host_id>>
@@ -130,15 +137,19 @@
 {
     for (const auto& [key, allotment] : allotments)
     {
-        set_allotment(inputs.admission, key, allotment, now);
+        set_allotment(
+            inputs.admission, key, allotment, now,
+            term_of(inputs, allotment_term));
     }
     record_change(state, allotments, actions);
 }
 
 // The allotments of the routes that enter at the reporting host.
 std::map<tree_key, tree_allotment> answer_report(
-    trees_state& state, host_id from, const tree_report& report, time_point now)
+    trees_state& state, const trees_inputs& inputs, host_id from,
+    const tree_report& report, time_point now)
 {
+    state.collector.report_term = term_of(inputs, collected_term);
     collect_counts(
         state.collector, from, report.host_incarnation, report.counts, now);
     update_allotments(state.collector, tree_report_interval / 2, now);
@@ -171,8 +182,8 @@
     if (collector == state.settings.self)
     {
         apply_allotments(
-            state, inputs, answer_report(state, collector, report, now), now,
-            actions);
+            state, inputs, answer_report(state, inputs, collector, report, now),
+            now, actions);
         return;
     }
     ++state.unanswered;
@@ -270,7 +281,7 @@
             message.from,
             tree_reply{
                 report->report,
-                answer_report(state, message.from, *report, now)},
+                answer_report(state, inputs, message.from, *report, now)},
             actions);
     }
     else if (const auto* const reply = std::get_if<tree_reply>(&*decoded))
--- a/tests/core/tree_counts_test.cpp
+++ b/tests/core/tree_counts_test.cpp
@@ -3,6 +3,7 @@
 #include "core/trees/tree_collector.hpp"
 #include "core/trees/tree_messages.hpp"
 #include "core/trees/tree_observer.hpp"
+#include "core/trees/trees.hpp"
 
 #include <gtest/gtest.h>
 
@@ -148,6 +149,45 @@
     EXPECT_EQ(collector.usable[store].share, 1.0);
 }
 
+// A thousand hosts report each two seconds. Allotments and reports ended before
+// the next ones came, so that hosts decided nothing for a quarter of the time.
+TEST(tree_budgets, reports_of_a_thousand_hosts_come_in_time)
+{
+    membership_state members;
+    members.settings.self = make_host_id(0x0a000001, 1);
+    members.settings.data_centre = data_centre_id_of("north");
+    members.self_incarnation = 1;
+    members.targets.local.assign(1036, make_host_id(0x0a000002, 1));
+    tree_observer observer;
+    observer.is_enabled = true;
+    observe_limit(observer, shop, 10);
+    tree_admission admission;
+    admission.is_enabled = true;
+    trees_state state;
+    random_source random(5);
+    trees_start(
+        state, {true, members.settings.self, members.settings.data_centre},
+        start, random);
+    int decided = 0;
+    int counted = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        const time_point now = start + 20ms * i;
+        observe_arrival(observer, buy_high);
+        const auto verdict = admit_tree(admission, buy_high, 0, now, random);
+        control_actions actions;
+        trees_tick(state, {members, observer, admission}, now, actions);
+        // The second report is the first from which a demand follows.
+        if (i >= 250)
+        {
+            decided += verdict == tree_verdict::unknown ? 0 : 1;
+            counted += own_totals(state.collector, now).demand.empty() ? 0 : 1;
+        }
+    }
+    EXPECT_EQ(decided, 750);
+    EXPECT_EQ(counted, 750);
+}
+
 // The number of requests that pass of those that arrive in a second, at this
 // rate.
 int admitted_of(
