Let the usable part of an idle service grow back

When the calls of a service end at once, the smoothed rates of started and of refused calls fall together, so that their ratio stayed at its last value: the share of the service remained at 0.5 instead of 1 for minutes, and the next traffic was admitted by half. Rates of refusals below 0.1 a second count as none.

--- a/src/core/trees/tree_collector.cpp
+++ b/src/core/trees/tree_collector.cpp
@@ -21,6 +21,8 @@
 constexpr double refusal_weight = 0.5;
 constexpr double largest_decrease = 0.25;
 constexpr double tolerated_refusals = 0.02;
+// Fewer refused calls a second than this are the rest of earlier ones.
+constexpr double least_refused_calls = 0.1;
 constexpr double recovery_step = 0.05;
 constexpr double min_usable = 0.5;
 
@@ -117,8 +119,9 @@
     for (const auto& [service, entry] : totals.services)
     {
         const double offered = entry.started_calls + entry.refused_calls;
-        const double refused =
-            offered > 0.0 ? entry.refused_calls / offered : 0.0;
+        const double refused = entry.refused_calls >= least_refused_calls
+                                   ? entry.refused_calls / offered
+                                   : 0.0;
         usable_part& part = collector.usable[service];
         part.refusing_updates =
             refused > tolerated_refusals ? part.refusing_updates + 1 : 0;
--- a/tests/core/tree_counts_test.cpp
+++ b/tests/core/tree_counts_test.cpp
@@ -149,6 +149,32 @@
     EXPECT_EQ(collector.usable[store].share, 1.0);
 }
 
+// The rates of calls that no longer come fell together, so that their ratio
+// stayed, and with it the low share.
+TEST(tree_collector, a_service_without_calls_is_usable_again)
+{
+    tree_collector collector;
+    const auto host = make_host_id(0x0a000001, 1);
+    host_counts counts;
+    counts.service = store;
+    counts.limit = 10;
+    time_point now = start;
+    for (int i = 0; i < 50; ++i, now += 200ms)
+    {
+        counts.started_calls += 80;
+        counts.refused_calls += 20;
+        collect_counts(collector, host, 1, counts, now);
+        update_allotments(collector, 100ms, now);
+    }
+    EXPECT_LT(collector.usable[store].share, 0.6);
+    for (int i = 0; i < 50; ++i, now += 200ms)
+    {
+        collect_counts(collector, host, 1, counts, now);
+        update_allotments(collector, 100ms, now);
+    }
+    EXPECT_EQ(collector.usable[store].share, 1.0);
+}
+
 // A thousand hosts report each two seconds. Allotments and reports ended before
 // the next ones came, so that hosts decided nothing for a quarter of the time.
 TEST(tree_budgets, reports_of_a_thousand_hosts_come_in_time)
