Forget call trees of routes that the configuration no longer has

Counts of a route stayed at the hosts, in each report, in the admission and at the collector, so that each configuration with other routes made them larger. Hosts now drop them when the configuration changes; the collector drops demand that a host no longer reports, services without hosts and runs of long ago.

--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -155,6 +155,8 @@
     update_documents(state, now, random, actions);
     if (has_tree_budgets(state))
     {
+        trees_on_configuration(
+            state.trees, inputs_of_trees(state), *state.chain.current);
         trees_tick(state.trees, inputs_of_trees(state), now, actions);
     }
     rates_tick(state.rates, inputs_of_rates(state), now, random, actions);
--- a/src/core/trees/tree_admission.cpp
+++ b/src/core/trees/tree_admission.cpp
@@ -134,6 +134,18 @@
                : tree_verdict::refused;
 }
 
+void forget_other_routes(
+    tree_admission& admission, const std::set<route_id>& configured)
+{
+    const std::scoped_lock lock(admission.mutex);
+    std::erase_if(
+        admission.rows,
+        [&configured](const auto& row)
+        {
+            return !configured.contains(row.first.route);
+        });
+}
+
 std::string describe_admission(tree_admission& admission, const tree_key& key)
 {
     const std::scoped_lock lock(admission.mutex);
--- a/src/core/trees/tree_admission.hpp
+++ b/src/core/trees/tree_admission.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace cyclamenhold
@@ -63,6 +64,10 @@
     tree_admission& admission, const tree_key& key, std::uint16_t slot,
     time_point now, random_source& random);
 
+// Forgets the routes that the configuration does not have.
+void forget_other_routes(
+    tree_admission& admission, const std::set<route_id>& configured);
+
 // The values that decide, for logs.
 [[nodiscard]] std::string
 describe_admission(tree_admission& admission, const tree_key& key);
--- a/src/core/trees/tree_collector.cpp
+++ b/src/core/trees/tree_collector.cpp
@@ -12,6 +12,11 @@
 // once.
 constexpr double run_decay_seconds = 4.0;
 constexpr double demand_decay_seconds = 0.4;
+// Runs are made to count less at most this often, as a collector gets hundreds
+// of reports a second.
+constexpr duration decay_interval = 50ms;
+// Fewer runs than this are those of routes that are no longer used.
+constexpr double least_runs = 1e-9;
 // How the usable part of a service changes at each update: down by half of the
 // part of its calls that its gates refuse, at most by a quarter, and slowly up.
 // Refusals count once they have lasted for some updates: those of a burst end
@@ -36,8 +41,17 @@
     return after >= before ? after - before : 0;
 }
 
+bool is_forgotten(const std::pair<const route_id, double>& calls)
+{
+    return calls.second < least_runs;
+}
+
 void decay_runs(tree_collector& collector, time_point now)
 {
+    if (now - collector.runs_at < decay_interval)
+    {
+        return;
+    }
     const double kept = decay_over(now - collector.runs_at, run_decay_seconds);
     collector.runs_at = now;
     for (auto& [key, entry] : collector.runs)
@@ -48,7 +62,14 @@
         {
             calls *= kept;
         }
+        std::erase_if(entry.calls, is_forgotten);
     }
+    std::erase_if(
+        collector.runs,
+        [](const auto& row)
+        {
+            return row.second.runs < least_runs;
+        });
 }
 
 void add_runs(
@@ -94,6 +115,12 @@
     collected_host& host, const host_counts& after, duration elapsed)
 {
     const host_counts& before = host.counts;
+    std::erase_if(
+        host.demand,
+        [&after](const auto& row)
+        {
+            return !after.arrivals.contains(row.first);
+        });
     for (const auto& [key, arrivals] : after.arrivals)
     {
         const auto former = before.arrivals.find(key);
@@ -116,6 +143,12 @@
         return;
     }
     collector.usable_at = now;
+    std::erase_if(
+        collector.usable,
+        [&totals](const auto& row)
+        {
+            return !totals.services.contains(row.first);
+        });
     for (const auto& [service, entry] : totals.services)
     {
         const double offered = entry.started_calls + entry.refused_calls;
--- a/src/core/trees/tree_observer.cpp
+++ b/src/core/trees/tree_observer.cpp
@@ -136,6 +136,27 @@
     observer.counts.limit = limit;
 }
 
+void forget_other_routes(
+    tree_observer& observer, const std::set<route_id>& configured)
+{
+    const auto is_gone = [&configured](const auto& row)
+    {
+        return !configured.contains(row.first);
+    };
+    const std::scoped_lock lock(observer.mutex);
+    std::erase_if(observer.counts.runs, is_gone);
+    for (auto& [route, entry] : observer.counts.runs)
+    {
+        std::erase_if(entry.calls, is_gone);
+    }
+    std::erase_if(
+        observer.counts.arrivals,
+        [&configured](const auto& row)
+        {
+            return !configured.contains(row.first.route);
+        });
+}
+
 host_counts counts_of(tree_observer& observer)
 {
     const std::scoped_lock lock(observer.mutex);
--- a/src/core/trees/tree_observer.hpp
+++ b/src/core/trees/tree_observer.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 
 namespace cyclamenhold
@@ -65,6 +66,11 @@
 void observe_limit(
     tree_observer& observer, service_id service, std::uint32_t limit);
 
+// Forgets the routes that the configuration does not have. A collector takes a
+// route that returns for one that is new.
+void forget_other_routes(
+    tree_observer& observer, const std::set<route_id>& configured);
+
 [[nodiscard]] host_counts counts_of(tree_observer& observer);
 
 } // namespace cyclamenhold
--- a/src/core/trees/trees.cpp
+++ b/src/core/trees/trees.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <set>
 
 #include <xxhash.h>
 
@@ -241,6 +242,24 @@
     state.next_totals_at = now + tree_report_interval;
 }
 
+void trees_on_configuration(
+    trees_state& state, const trees_inputs& inputs,
+    const configuration& current)
+{
+    if (current.revision == state.configured_revision)
+    {
+        return;
+    }
+    state.configured_revision = current.revision;
+    std::set<route_id> configured;
+    for (const auto& entry : current.routes)
+    {
+        configured.insert(route_id_of(entry.name));
+    }
+    forget_other_routes(inputs.observer, configured);
+    forget_other_routes(inputs.admission, configured);
+}
+
 void trees_tick(
     trees_state& state, const trees_inputs& inputs, time_point now,
     control_actions& actions)
--- a/src/core/trees/trees.hpp
+++ b/src/core/trees/trees.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/base/random.hpp"
+#include "core/configuration/model.hpp"
 #include "core/membership/membership.hpp"
 #include "core/trees/tree_admission.hpp"
 #include "core/trees/tree_collector.hpp"
@@ -49,6 +50,8 @@
     // reply.
     host_id reports_to = host_id::none;
     std::uint32_t unanswered = 0;
+    // The configuration whose routes the counts were limited to last.
+    std::uint64_t configured_revision = 0;
     // Whether any allotment here is below one; for events.
     bool is_limited = false;
 };
@@ -60,6 +63,10 @@
 void trees_start(
     trees_state& state, const trees_settings& settings, time_point now,
     random_source& random);
+// Forgets the routes that this configuration does not have.
+void trees_on_configuration(
+    trees_state& state, const trees_inputs& inputs,
+    const configuration& current);
 void trees_tick(
     trees_state& state, const trees_inputs& inputs, time_point now,
     control_actions& actions);
--- a/tests/core/tree_counts_test.cpp
+++ b/tests/core/tree_counts_test.cpp
@@ -175,6 +175,60 @@
     EXPECT_EQ(collector.usable[store].share, 1.0);
 }
 
+// Each configuration may name other routes. What was counted of those that are
+// gone stayed at the hosts, in each report and at the collector.
+TEST(tree_counts, routes_that_are_gone_are_forgotten)
+{
+    tree_observer observer;
+    observer.is_enabled = true;
+    tree_admission admission;
+    admission.is_enabled = true;
+    tree_collector collector;
+    random_source random(3);
+    const auto host = make_host_id(0x0a000001, 1);
+    observe_limit(observer, shop, 10);
+    time_point now = start;
+    for (std::uint64_t i = 0; i < 20; ++i, now += 200ms)
+    {
+        observe_arrival(observer, buy_high);
+        (void)admit_tree(admission, buy_high, 0, now, random);
+        observe_start(observer, i, buy, false, now + 5s, now);
+        observe_call(observer, stock, now + 5s);
+        observe_end(observer, i, true, now + 10ms);
+        collect_counts(collector, host, 1, counts_of(observer), now);
+        update_allotments(collector, 100ms, now);
+    }
+    EXPECT_EQ(collector.allotments.size(), 1U);
+    EXPECT_EQ(collector.runs.size(), 1U);
+    {
+        SCOPED_TRACE("those that the configuration has are kept");
+        forget_other_routes(observer, {buy, stock});
+        forget_other_routes(admission, {buy, stock});
+        EXPECT_EQ(counts_of(observer).arrivals.at(buy_high), 20U);
+        EXPECT_EQ(counts_of(observer).runs.at(buy).calls.at(stock), 20U);
+        EXPECT_EQ(admission.rows.size(), 1U);
+    }
+    forget_other_routes(observer, {look});
+    forget_other_routes(admission, {look});
+    EXPECT_TRUE(counts_of(observer).arrivals.empty());
+    EXPECT_TRUE(counts_of(observer).runs.empty());
+    EXPECT_TRUE(admission.rows.empty());
+    for (int i = 0; i < 1000; ++i, now += 200ms)
+    {
+        collect_counts(collector, host, 1, counts_of(observer), now);
+        update_allotments(collector, 100ms, now);
+    }
+    EXPECT_TRUE(collector.hosts.at(host).demand.empty());
+    EXPECT_TRUE(collector.allotments.empty());
+    EXPECT_TRUE(collector.runs.empty());
+    {
+        SCOPED_TRACE("a route that returns is counted from its first request");
+        observe_arrival(observer, buy_high);
+        collect_counts(collector, host, 1, counts_of(observer), now);
+        EXPECT_GT(collector.hosts.at(host).demand.at(buy_high), 0.0);
+    }
+}
+
 // A thousand hosts report each two seconds. Allotments and reports ended before
 // the next ones came, so that hosts decided nothing for a quarter of the time.
 TEST(tree_budgets, reports_of_a_thousand_hosts_come_in_time)
