Spread the calls of followers after an outage of the store

All followers call the store while it fails, their calls end together, and after an outage of 10 s 136 of 168 nodes called in the same quarter of a second. After the second failure a follower that has a document waits up to 1.5 s longer, and calls only if its parent has no proof by then: at most 42 in a quarter of a second, and all nodes have a version written at the end of the outage within 2.5 s of it (virtual clock; the bounds of tests/core/document_watchers_test.cpp).

--- a/src/core/configuration/document_calls.cpp
+++ b/src/core/configuration/document_calls.cpp
@@ -19,6 +19,11 @@
 // The wait time of a watch after a failed call.
 constexpr duration recheck_time = 50ms;
 constexpr duration longest_backoff = 1s;
+// A node that follows watchers waits longer by up to this after its second
+// failed call, so that its parent can have a proof before it calls: the calls
+// of all followers fail together when the platform does.
+constexpr duration follower_spread = 1'500ms;
+constexpr std::uint32_t failures_before_spread = 2;
 // After the time limit of a call the client must have reported its failure.
 constexpr duration overdue_report = 500ms;
 
@@ -110,6 +115,12 @@
     state.next_call_at = std::max(
         now + jittered(shortest_document_backoff, random),
         state.call_started_at + jittered(bound, random));
+    if (!state.watchers.is_watcher && !state.text.empty() &&
+        state.failures >= failures_before_spread)
+    {
+        state.next_call_at +=
+            from_seconds(to_seconds(follower_spread) * random_fraction(random));
+    }
 }
 
 } // namespace cyclamenhold
--- a/tests/core/document_watchers_test.cpp
+++ b/tests/core/document_watchers_test.cpp
@@ -82,6 +82,17 @@
             }));
     }
 
+    // The calls for the document that all nodes have made.
+    [[nodiscard]] std::uint64_t document_calls() const
+    {
+        std::uint64_t calls = 0;
+        for (const auto& [host, node] : fleet.nodes)
+        {
+            calls += node->control->document.last_call_id;
+        }
+        return calls;
+    }
+
     // Writes a version and returns the time until all nodes have it.
     duration time_to_spread(std::uint64_t version)
     {
@@ -204,6 +215,37 @@
     EXPECT_LE(test.oldest_proof, key_staleness);
 }
 
+// All calls of the outage failed together, and seven eighths of the nodes
+// called in the same quarter of a second after it.
+TEST(document_watchers, followers_after_an_outage)
+{
+    document_fleet test(56);
+    test.fleet.platform_reachable = [](const virtual_node&)
+    {
+        return false;
+    };
+    test.run(10s);
+    test.fleet.platform_reachable = [](const virtual_node&)
+    {
+        return true;
+    };
+    test.write(2);
+    std::uint64_t most = 0;
+    const std::uint64_t start = test.document_calls();
+    for (int i = 0; i < 10; ++i)
+    {
+        const std::uint64_t before = test.document_calls();
+        test.run(250ms);
+        most = std::max(most, test.document_calls() - before);
+    }
+    EXPECT_LE(most, 168U / 4U);
+    EXPECT_LE(test.document_calls() - start, 168U);
+    EXPECT_EQ(test.count_with(2), 168U);
+    test.oldest_proof = {};
+    test.run(3s);
+    EXPECT_LE(test.oldest_proof, 2s);
+}
+
 TEST(document_watchers, a_node_that_starts)
 {
     document_fleet test(28);
