--- a/src/core/configuration/document_watchers.cpp
+++ b/src/core/configuration/document_watchers.cpp
@@ -42,6 +42,7 @@
     }
     std::ranges::sort(ranked);
     std::vector<host_id> hosts;
+    hosts.reserve(ranked.size());
     for (const auto& [rank, host] : ranked)
     {
         hosts.push_back(host);
