--- a/src/core/trees/tree_counts.hpp
+++ b/src/core/trees/tree_counts.hpp
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <tuple>
 
 namespace cyclamenhold
 {
@@ -19,7 +20,12 @@
     route_id route = route_id::none;
     service_id service = service_id::none;
     priority_class priority = priority_class::normal;
-    auto operator<=>(const tree_key&) const = default;
+    bool operator==(const tree_key&) const = default;
+    std::strong_ordering operator<=>(const tree_key& other) const
+    {
+        return std::tie(route, service, priority) <=>
+               std::tie(other.route, other.service, other.priority);
+    }
 };
 
 // Requests of one route that the host's upstream answered with success.
