--- a/src/core/trees/tree_admission.cpp
+++ b/src/core/trees/tree_admission.cpp
@@ -100,7 +100,7 @@
 
 void set_allotment(
     tree_admission& admission, const tree_key& key,
-    const tree_allotment& allotment, time_point now)
+    const tree_allotment& allotment, time_point now, duration term)
 {
     const std::scoped_lock lock(admission.mutex);
     admission_row& row = admission.rows[key];
@@ -111,7 +111,7 @@
     }
     row.allotment = allotment;
     row.allotted_rate = rate_at(row, now);
-    row.valid_until = now + allotment_term;
+    row.valid_until = now + term;
 }
 
 tree_verdict admit_tree(
@@ -134,6 +134,18 @@
                : tree_verdict::refused;
 }
 
+void forget_other_routes(
+    tree_admission& admission, const std::set<route_id>& configured)
+{
+    const std::scoped_lock lock(admission.mutex);
+    std::erase_if(
+        admission.rows,
+        [&configured](const auto& row)
+        {
+            return !configured.contains(row.first.route);
+        });
+}
+
 std::string describe_admission(tree_admission& admission, const tree_key& key)
 {
     const std::scoped_lock lock(admission.mutex);
--- a/src/core/trees/tree_admission.hpp
+++ b/src/core/trees/tree_admission.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace cyclamenhold
@@ -48,12 +49,14 @@
     refused
 };
 
-// An allotment is used for this time.
+// An allotment is used for this time where hosts report at the shortest
+// interval.
 constexpr duration allotment_term = 1500ms;
 
 void set_allotment(
     tree_admission& admission, const tree_key& key,
-    const tree_allotment& allotment, time_point now);
+    const tree_allotment& allotment, time_point now,
+    duration term = allotment_term);
 
 // Decides on a root request. Lower slots go first, so that workspaces share
 // what is admitted evenly; see draw_slot.
@@ -61,6 +64,10 @@
     tree_admission& admission, const tree_key& key, std::uint16_t slot,
     time_point now, random_source& random);
 
+// Forgets the routes that the configuration does not have.
+void forget_other_routes(
+    tree_admission& admission, const std::set<route_id>& configured);
+
 // The values that decide, for logs.
 [[nodiscard]] std::string
 describe_admission(tree_admission& admission, const tree_key& key);
--- a/src/core/trees/tree_collector.cpp
+++ b/src/core/trees/tree_collector.cpp
@@ -12,6 +12,11 @@
 // once.
 constexpr double run_decay_seconds = 4.0;
 constexpr double demand_decay_seconds = 0.4;
+// Runs are made to count less at most this often, as a collector gets hundreds
+// of reports a second.
+constexpr duration decay_interval = 50ms;
+// Fewer runs than this are those of routes that are no longer used.
+constexpr double least_runs = 1e-9;
 // How the usable part of a service changes at each update: down by half of the
 // part of its calls that its gates refuse, at most by a quarter, and slowly up.
 // Refusals count once they have lasted for some updates: those of a burst end
@@ -21,6 +26,8 @@
 constexpr double refusal_weight = 0.5;
 constexpr double largest_decrease = 0.25;
 constexpr double tolerated_refusals = 0.02;
+// Fewer refused calls a second than this are the rest of earlier ones.
+constexpr double least_refused_calls = 0.1;
 constexpr double recovery_step = 0.05;
 constexpr double min_usable = 0.5;
 
@@ -34,8 +41,17 @@
     return after >= before ? after - before : 0;
 }
 
+bool is_forgotten(const std::pair<const route_id, double>& calls)
+{
+    return calls.second < least_runs;
+}
+
 void decay_runs(tree_collector& collector, time_point now)
 {
+    if (now - collector.runs_at < decay_interval)
+    {
+        return;
+    }
     const double kept = decay_over(now - collector.runs_at, run_decay_seconds);
     collector.runs_at = now;
     for (auto& [key, entry] : collector.runs)
@@ -46,7 +62,14 @@
         {
             calls *= kept;
         }
+        std::erase_if(entry.calls, is_forgotten);
     }
+    std::erase_if(
+        collector.runs,
+        [](const auto& row)
+        {
+            return row.second.runs < least_runs;
+        });
 }
 
 void add_runs(
@@ -92,6 +115,12 @@
     collected_host& host, const host_counts& after, duration elapsed)
 {
     const host_counts& before = host.counts;
+    std::erase_if(
+        host.demand,
+        [&after](const auto& row)
+        {
+            return !after.arrivals.contains(row.first);
+        });
     for (const auto& [key, arrivals] : after.arrivals)
     {
         const auto former = before.arrivals.find(key);
@@ -114,11 +143,18 @@
         return;
     }
     collector.usable_at = now;
+    std::erase_if(
+        collector.usable,
+        [&totals](const auto& row)
+        {
+            return !totals.services.contains(row.first);
+        });
     for (const auto& [service, entry] : totals.services)
     {
         const double offered = entry.started_calls + entry.refused_calls;
-        const double refused =
-            offered > 0.0 ? entry.refused_calls / offered : 0.0;
+        const double refused = entry.refused_calls >= least_refused_calls
+                                   ? entry.refused_calls / offered
+                                   : 0.0;
         usable_part& part = collector.usable[service];
         part.refusing_updates =
             refused > tolerated_refusals ? part.refusing_updates + 1 : 0;
@@ -173,7 +209,7 @@
     totals.runs = collector.runs;
     for (const auto& [id, host] : collector.hosts)
     {
-        if (now - host.received_at > collected_term)
+        if (now - host.received_at > collector.report_term)
         {
             continue;
         }
