Notice callers that leave with bytes that are not read yet

Callers that left stayed unnoticed, and their requests ran to the end, where the node does not read: with eight requests open and another one unread, in the middle of a head (which was answered 400 in its turn), and while an expectation waited for the answers before it. The wait for readability ends at once when bytes are waiting, and an expectation was not watched at all. The node now looks for the caller's close every 100 ms while such bytes wait. An expectation behind a closing answer is not answered any more.

--- a/src/adapters/callers/caller_connection.cpp
+++ b/src/adapters/callers/caller_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace cyclamenhold
@@ -27,6 +28,36 @@
     }
 }
 
+// Whether the caller has closed the connection, also if bytes before the close
+// have not been read.
+bool has_left(caller_connection& connection)
+{
+    pollfd state{connection.stream.socket().native_handle(), POLLRDHUP, 0};
+    char byte = 0;
+    return (::poll(&state, 1, 0) > 0 && state.revents != 0) ||
+           ::recv(state.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+// Watches a connection with bytes that are not read yet, which a wait for
+// readability does not outlast.
+void watch_behind_bytes(const std::shared_ptr<caller_connection>& connection)
+{
+    constexpr std::chrono::milliseconds interval{100};
+    connection->watching = true;
+    auto timer = std::make_shared<asio::steady_timer>(
+        connection->thread.io.get_executor(), interval);
+    timer->async_wait(
+        [connection, timer](const boost::system::error_code& error)
+        {
+            connection->watching = false;
+            if (!error && !connection->open.empty() &&
+                !connection->disconnected && !connection->is_reading)
+            {
+                watch_for_disconnect(connection);
+            }
+        });
+}
+
 } // namespace
 
 caller_connection::caller_connection(
@@ -93,6 +124,10 @@
 asio::awaitable<void>
 wait_for_open(std::shared_ptr<caller_connection> connection, std::size_t count)
 {
+    if (connection->open.size() >= count)
+    {
+        watch_for_disconnect(connection);
+    }
     while (connection->open.size() >= count)
     {
         co_await connection->ended.async_wait(
@@ -137,15 +172,14 @@
         [connection](const boost::system::error_code& error)
         {
             connection->watching = false;
-            char byte = 0;
-            const bool ended =
-                error || ::recv(
-                             connection->stream.socket().native_handle(), &byte,
-                             1, MSG_PEEK | MSG_DONTWAIT) == 0;
-            if (ended)
+            if (error || has_left(*connection))
             {
                 disconnect(*connection);
             }
+            else if (!connection->open.empty())
+            {
+                watch_behind_bytes(connection);
+            }
         });
 }
 
--- a/src/adapters/callers/caller_connection.hpp
+++ b/src/adapters/callers/caller_connection.hpp
@@ -88,7 +88,7 @@
 // cancelled: they count as not read.
 void close_request(const caller_ptr& request);
 
-// Waits until fewer than `count` requests are open.
+// Waits until fewer than `count` requests are open. Nothing is read meanwhile.
 [[nodiscard]] asio::awaitable<void>
 wait_for_open(std::shared_ptr<caller_connection> connection, std::size_t count);
 
--- a/src/adapters/callers/request_reader.cpp
+++ b/src/adapters/callers/request_reader.cpp
@@ -75,6 +75,10 @@
     }
     // Replies to earlier requests come first.
     co_await wait_for_open(caller->connection, 1);
+    if (caller->connection->must_close || caller->connection->disconnected)
+    {
+        co_return false;
+    }
     http::response<http::empty_body> interim(http::status::continue_, 11);
     const auto [error, count] = co_await http::async_write(
         caller->connection->stream, interim,
@@ -135,6 +139,7 @@
         co_return true;
     }
     if (error == http::error::end_of_stream || error == asio::error::eof ||
+        error == http::error::partial_message ||
         error == beast::error::timeout ||
         error == asio::error::connection_reset)
     {
--- a/tests/process/scripted_upstream.hpp
+++ b/tests/process/scripted_upstream.hpp
@@ -53,6 +53,15 @@
         return false;
     }
 
+    // Whether the node has closed the connection.
+    [[nodiscard]] bool is_closed()
+    {
+        char byte = 0;
+        return ::recv(
+                   socket_.native_handle(), &byte, 1,
+                   MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     // Ends the connection without a closing handshake.
     void reset()
     {
