Start nothing behind a closing answer or during a planned stop

A long answer that closes the connection did not end the session: a request that must not be repeated ran behind it. A request whose head arrived around a closing answer was passed on and never answered. A caller that always had a request open kept its connection through a planned stop until the time limit. The head of a reply now decides that nothing more starts, also while it is being written, and during a planned stop the requests that are open are the last.

Before: the requests behind ran, an expectation got 100 after the closing answer, and a caller with a request of 200 ms every 50 ms was served for over 5 s of the stop (end of the test); now the connection ends (pipelining.*).

--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -129,15 +129,14 @@
     close_request(caller);
 }
 
-// Waits until fewer than `count` requests are open. Nothing is read meanwhile.
-asio::awaitable<void>
-wait_for_room(std::shared_ptr<caller_connection> connection, std::size_t count)
+// Whether a request that was read may run. What is behind a closing reply
+// counts as not read. During a planned stop the requests that are open are the
+// last.
+bool may_start(const caller_connection& connection)
 {
-    if (connection->open.size() >= count)
-    {
-        watch_for_disconnect(connection);
-        co_await wait_for_open(connection, count);
-    }
+    return !connection.must_close && !connection.disconnected &&
+           (connection.open.empty() ||
+            !connection.thread.services.path.draining);
 }
 
 // Reads one request and runs it, or starts to. False if none can follow it.
@@ -155,6 +154,10 @@
     {
         co_return false;
     }
+    if (!may_start(*connection))
+    {
+        co_return false;
+    }
     const bool is_last = !caller->parser->get().keep_alive();
     if (settings.side == session_side::callers && may_run_beside(*caller))
     {
@@ -165,7 +168,7 @@
             asio::detached);
         co_return !is_last;
     }
-    co_await wait_for_room(connection, 1);
+    co_await wait_for_open(connection, 1);
     if (connection->must_close || connection->disconnected)
     {
         co_return false;
@@ -186,14 +189,14 @@
     bool goes_on = true;
     while (goes_on && !connection->must_close && !connection->disconnected)
     {
-        co_await wait_for_room(connection, max_open_requests);
+        co_await wait_for_open(connection, max_open_requests);
         if (connection->must_close || connection->disconnected)
         {
             break;
         }
         goes_on = co_await serve_next(connection, settings);
     }
-    co_await wait_for_room(connection, 1);
+    co_await wait_for_open(connection, 1);
     connection->stream.socket().shutdown(
         asio::ip::tcp::socket::shutdown_send, ignored);
     connection->stream.close();
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -45,13 +45,26 @@
            (has_followers(caller) || !caller.thread.services.path.draining);
 }
 
+// Decides whether the reply closes the connection. If so, nothing behind it is
+// started from here on.
+template <class Response>
+void fill_keep_alive(Response& response, const caller_request& caller)
+{
+    const bool keep_alive = is_keep_alive(caller);
+    response.keep_alive(keep_alive);
+    if (!keep_alive)
+    {
+        caller.connection->must_close = true;
+    }
+}
+
 template <class Response>
 void fill_common(
     Response& response, const caller_request& caller, trace_id trace,
     outcome result)
 {
     response.version(http_version_1_1);
-    response.keep_alive(is_keep_alive(caller));
+    fill_keep_alive(response, caller);
     const header_names& names = names_of(caller);
     response.set(names.trace, to_string(trace));
     response.set(names.outcome, std::string(name_of(result)));
@@ -78,7 +91,7 @@
     const auto [error, count] = co_await http::async_write(
         caller->connection->stream, response,
         asio::as_tuple(asio::use_awaitable));
-    if (error || !response.keep_alive())
+    if (error)
     {
         caller->connection->must_close = true;
     }
@@ -318,7 +331,7 @@
 {
     http::response<http::string_body> response;
     response.version(http_version_1_1);
-    response.keep_alive(is_keep_alive(*caller));
+    fill_keep_alive(response, *caller);
     response.result(status);
     response.set(http::field::content_type, "application/json");
     response.body() = boost::json::serialize(body) + '\n';
--- a/tests/process/pipelining_end_test.cpp
+++ b/tests/process/pipelining_end_test.cpp
@@ -9,6 +9,92 @@
 
 using namespace process_tests;
 
+// A request behind a long closing answer ran.
+TEST_F(pipelining, what_is_behind_a_long_closing_answer_does_not_run)
+{
+    auto caller = connect();
+    caller.send(get("safe", 600, "long"));
+    EXPECT_TRUE(wait_until(
+        [this]
+        {
+            return has_started("long");
+        }));
+    hosts.nodes[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(100ms);
+    caller.send(get("once", 0, "behind"));
+    EXPECT_EQ(caller.read().first, 200U);
+    EXPECT_EQ(caller.read().first, 0U);
+    EXPECT_FALSE(has_started("behind"));
+}
+
+// A request whose head arrived in part before a closing answer and in part
+// after it was passed on and not answered (LOST).
+TEST_F(pipelining, a_head_that_arrives_around_a_closing_answer)
+{
+    auto caller = connect();
+    caller.send(get("safe", 400, "first"));
+    EXPECT_TRUE(wait_until(
+        [this]
+        {
+            return has_started("first");
+        }));
+    hosts.nodes[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(100ms);
+    const std::string behind = get("safe", 100, "behind");
+    caller.send(behind.substr(0, 20));
+    EXPECT_EQ(caller.read(), std::pair(200U, std::string("first")));
+    caller.try_send(behind.substr(20));
+    EXPECT_EQ(caller.read().first, 0U);
+    EXPECT_FALSE(has_started("behind"));
+}
+
+// An interim answer was written behind a closing one.
+TEST_F(pipelining, an_expectation_behind_a_closing_answer)
+{
+    auto caller = connect();
+    caller.send(get("safe", 400, "first"));
+    EXPECT_TRUE(wait_until(
+        [this]
+        {
+            return has_started("first");
+        }));
+    hosts.nodes[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(100ms);
+    caller.send("POST /once/0/behind HTTP/1.1\r\nHost: test\r\nExpect: "
+                "100-continue\r\nContent-Length: 5\r\n\r\n");
+    EXPECT_EQ(caller.read(), std::pair(200U, std::string("first")));
+    EXPECT_EQ(caller.read().first, 0U);
+}
+
+// A caller that always had a request open kept its connection, and the planned
+// stop, until the stop's time limit. The load: a request of 200 ms every 50 ms.
+TEST_F(pipelining, a_planned_stop_while_requests_keep_coming)
+{
+    auto caller = connect();
+    std::atomic<bool> is_over = false;
+    std::thread sender(
+        [&]
+        {
+            while (!is_over)
+            {
+                caller.try_send(get("safe", 200, "more"));
+                std::this_thread::sleep_for(50ms);
+            }
+        });
+    EXPECT_EQ(caller.read().first, 200U);
+    hosts.nodes[0]->signal(SIGTERM);
+    const auto start = clock::now();
+    unsigned status = 200;
+    while (status != 0 && clock::now() - start < 5s)
+    {
+        status = caller.read().first;
+        EXPECT_TRUE(status == 200 || status == 0) << status;
+    }
+    EXPECT_LT(clock::now() - start, 2s);
+    is_over = true;
+    sender.join();
+}
+
 // A caller that left was not noticed while more of its bytes were waiting.
 TEST_F(pipelining, a_caller_that_leaves_with_requests_unread)
 {
