--- a/tests/core/document_watchers_test.cpp
+++ b/tests/core/document_watchers_test.cpp
@@ -1,12 +1,16 @@
 // Fleets in which few nodes watch the document, and the others follow them. The
 // load: the store is paid by the call, and all nodes need each version within
 // two seconds.
+#include "core/configuration/chain.hpp"
+#include "core/configuration/document_watchers.hpp"
 #include "support/document_fixture.hpp"
 #include "support/virtual_fleet.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <memory>
 #include <set>
 
 namespace cyclamenhold
@@ -78,6 +82,17 @@
             }));
     }
 
+    // The calls for the document that all nodes have made.
+    [[nodiscard]] std::uint64_t document_calls() const
+    {
+        std::uint64_t calls = 0;
+        for (const auto& [host, node] : fleet.nodes)
+        {
+            calls += node->control->document.last_call_id;
+        }
+        return calls;
+    }
+
     // Writes a version and returns the time until all nodes have it.
     duration time_to_spread(std::uint64_t version)
     {
@@ -133,6 +148,7 @@
     document_fleet test(28);
     EXPECT_EQ(test.watchers().size(), 6U);
     const std::uint64_t before = store_call_count(test.fleet.platform);
+    const time_point start = test.fleet.now();
     for (std::uint64_t version = 2; version <= 5; ++version)
     {
         EXPECT_LE(test.time_to_spread(version), 1s);
@@ -140,7 +156,7 @@
     }
     const auto calls =
         static_cast<double>(store_call_count(test.fleet.platform) - before);
-    EXPECT_LE(calls / 20.0, 25.0);
+    EXPECT_LE(calls / to_seconds(test.fleet.now() - start), 25.0);
     EXPECT_LE(test.oldest_proof, 3s);
 }
 
@@ -199,6 +215,37 @@
     EXPECT_LE(test.oldest_proof, key_staleness);
 }
 
+// All calls of the outage failed together, and seven eighths of the nodes
+// called in the same quarter of a second after it.
+TEST(document_watchers, followers_after_an_outage)
+{
+    document_fleet test(56);
+    test.fleet.platform_reachable = [](const virtual_node&)
+    {
+        return false;
+    };
+    test.run(10s);
+    test.fleet.platform_reachable = [](const virtual_node&)
+    {
+        return true;
+    };
+    test.write(2);
+    std::uint64_t most = 0;
+    const std::uint64_t start = test.document_calls();
+    for (int i = 0; i < 10; ++i)
+    {
+        const std::uint64_t before = test.document_calls();
+        test.run(250ms);
+        most = std::max(most, test.document_calls() - before);
+    }
+    EXPECT_LE(most, 168U / 4U);
+    EXPECT_LE(test.document_calls() - start, 168U);
+    EXPECT_EQ(test.count_with(2), 168U);
+    test.oldest_proof = {};
+    test.run(3s);
+    EXPECT_LE(test.oldest_proof, 2s);
+}
+
 TEST(document_watchers, a_node_that_starts)
 {
     document_fleet test(28);
@@ -212,6 +259,113 @@
     EXPECT_LE(test.time_to_spread(2), 1s);
 }
 
+// One data centre without a network: answers to pings arrive at once, and a
+// call of the platform takes no time.
+struct proof_tree
+{
+    struct node
+    {
+        document_watchers watchers;
+        chain_state chain;
+        membership_state members;
+        time_point next_watch{};
+    };
+
+    explicit proof_tree(std::uint32_t hosts)
+    {
+        const auto current = std::make_shared<configuration>();
+        current->revision = 1;
+        for (std::uint32_t i = 0; i < hosts; ++i)
+        {
+            const host_id self = make_host_id(0x0a000001 + i, 1);
+            node& added = nodes[self];
+            added.chain.current = current;
+            added.chain.platform_read_at = now;
+            added.members.settings.self = self;
+            added.members.own_revision = 1;
+            added.members.targets.version = 1;
+            added.next_watch = now + from_seconds(
+                                         to_seconds(watcher_watch_time) *
+                                         random_fraction(random));
+        }
+        for (auto& [self, one] : nodes)
+        {
+            for (const auto& [other, ignored] : nodes)
+            {
+                if (other != self)
+                {
+                    one.members.targets.local.push_back(other);
+                }
+            }
+        }
+    }
+
+    void step(node& one)
+    {
+        control_actions actions;
+        exchange_proofs(one.watchers, one.members, now, random, actions);
+        for (const auto& message : actions.messages)
+        {
+            if (message.to == one.watchers.parent)
+            {
+                one.members.platform_read_at = std::max(
+                    one.members.platform_read_at,
+                    nodes.at(message.to).members.platform_read_at);
+                ++pings[message.to];
+            }
+        }
+        record_proof(one.chain, one.members);
+        if (one.watchers.is_watcher)
+        {
+            if (now >= one.next_watch)
+            {
+                one.next_watch = now + watcher_watch_time;
+                one.chain.platform_read_at = now;
+            }
+        }
+        else if (must_call_platform(
+                     one.watchers, one.chain, one.members, {}, now))
+        {
+            one.chain.platform_read_at = now;
+            ++calls_of_followers;
+        }
+        publish_to_membership(one.chain, one.members);
+    }
+
+    void run(duration time)
+    {
+        for (const time_point end = now + time; now < end; now += 20ms)
+        {
+            for (auto& [self, one] : nodes)
+            {
+                step(one);
+            }
+        }
+    }
+
+    std::map<host_id, node> nodes;
+    std::map<host_id, int> pings;
+    int calls_of_followers = 0;
+    time_point now{100s};
+    random_source random{9};
+};
+
+// In a tree of three levels a proof was often older than a node waits for one:
+// followers called the platform more than a hundred times a second.
+TEST(document_watchers, followers_of_a_data_centre_of_a_thousand_hosts)
+{
+    proof_tree tree(1037);
+    tree.run(5s);
+    tree.calls_of_followers = 0;
+    tree.pings.clear();
+    tree.run(10s);
+    EXPECT_LE(tree.calls_of_followers / 10.0, 10.0);
+    for (const auto& [host, pings] : tree.pings)
+    {
+        EXPECT_LE(pings / 10.0, 30.0);
+    }
+}
+
 // The platform holds no document yet: each node read it ten times a second.
 TEST(document_watchers, the_first_document_is_watched)
 {
@@ -242,13 +396,10 @@
 // Nodes that start together on an empty store found each other after seconds.
 TEST(document_watchers, nodes_that_start_together_meet_soon)
 {
-    virtual_fleet fleet(document_fleet::options_with(28));
-    for (const auto& [host, node] : fleet.nodes)
-    {
-        fleet.start(*node);
-        // Only the store leads them to each other.
-        node->control->membership.settings.seeds.clear();
-    }
+    auto options = document_fleet::options_with(28);
+    options.has_seed_addresses = false;
+    virtual_fleet fleet(options);
+    fleet.start_all();
     const auto least_known = [&fleet]
     {
         std::size_t least = fleet.nodes.size();
