--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -115,6 +115,11 @@
         return false;
     }
     const auto& message = caller.parser->get();
+    // The answer to a ticket request does not wait for its turn.
+    if (view_of(message.target()) == ticket_target)
+    {
+        return false;
+    }
     const auto tables = caller.thread.services.path.tables.read();
     const route_entry* const route = find_route(
         *tables, view_of(message[http::field::host]),
