--- a/tests/adapters/metrics_test.cpp
+++ b/tests/adapters/metrics_test.cpp
@@ -62,7 +62,7 @@
             static_cast<std::size_t>(counter_id::control_microseconds) + 1,
             counter_count);
         EXPECT_EQ(
-            static_cast<std::size_t>(gauge_id::resident_bytes) + 1,
+            static_cast<std::size_t>(gauge_id::upstream_cold_rate) + 1,
             gauge_count);
         EXPECT_EQ(
             static_cast<std::size_t>(histogram_id::platform_latency) + 1,
