--- a/src/adapters/callers/caller_connection.cpp
+++ b/src/adapters/callers/caller_connection.cpp
@@ -159,7 +159,7 @@
 
 // A wait that is still pending after its request completes on the first byte of
 // the next one.
-void watch_for_disconnect(std::shared_ptr<caller_connection> connection)
+void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection)
 {
     if (connection->watching)
     {
--- a/src/adapters/callers/caller_connection.hpp
+++ b/src/adapters/callers/caller_connection.hpp
@@ -97,7 +97,7 @@
 void end_idle(caller_connection& connection);
 
 // Detects the caller's disconnection while nothing is read from the connection.
-void watch_for_disconnect(std::shared_ptr<caller_connection> connection);
+void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection);
 
 // Records that the caller has left, and cancels all open requests.
 void disconnect(caller_connection& connection);
