--- a/src/core/configuration/document_source.cpp
+++ b/src/core/configuration/document_source.cpp
@@ -2,7 +2,9 @@
 
 #include "core/configuration/chain_format.hpp"
 #include "core/configuration/chain_platform.hpp"
+#include "core/configuration/document_apply.hpp"
 #include "core/configuration/document_calls.hpp"
+#include "core/configuration/document_pull.hpp"
 
 #include <absl/strings/str_format.h>
 
@@ -16,13 +18,6 @@
 
 using wire::configuration::message_body;
 
-// A pull starts only this long after a peer has reported a newer version, since
-// the node's own watch usually returns it first.
-constexpr duration pull_delay = 250ms;
-constexpr duration pull_timeout = 700ms;
-// Bounds the memory that a peer's snapshot can use.
-constexpr std::uint32_t max_snapshot_parts = 1'000;
-
 void emit(control_actions& actions, event_kind kind, std::string detail)
 {
     event new_event;
@@ -51,71 +46,6 @@
     return absl::StrFormat("%.3f s", to_seconds(now - start));
 }
 
-// The first findings, and how many there are.
-std::string summary_of(const findings& found)
-{
-    constexpr std::size_t max_listed = 8;
-    const std::size_t listed = std::min(found.size(), max_listed);
-    return std::to_string(found.size()) + " findings; " +
-           to_string(findings(
-               found.begin(), found.begin() + static_cast<int>(listed)));
-}
-
-void set_current(
-    document_state& state, chain_state& chain, configuration next,
-    std::string_view text, const std::string& from, time_point now,
-    control_actions& actions)
-{
-    emit(
-        actions, event_kind::configuration_applied,
-        "version " + std::to_string(next.revision) + " after " +
-            std::to_string(chain.current->revision) + " from " + from + ", " +
-            std::to_string(next.routes.size()) + " routes, " +
-            std::to_string(next.workspaces.size()) + " workspaces");
-    if (!next.unreadable.empty())
-    {
-        emit(
-            actions, event_kind::configuration_incomplete,
-            "version " + std::to_string(next.revision) + ": " +
-                summary_of(next.unreadable));
-    }
-    state.text = text;
-    if (next.data_centres.empty())
-    {
-        next.data_centres = state.settings.data_centres;
-    }
-    if (const auto found = find_unknown_regions(next); !found.empty())
-    {
-        emit(
-            actions, event_kind::configuration_incomplete,
-            "version " + std::to_string(next.revision) + ": " +
-                summary_of(found));
-    }
-    chain.current = std::make_shared<const configuration>(std::move(next));
-    chain.applied_at = now;
-}
-
-// Applies a document if it is newer than the current one. Returns false if it
-// fails to parse.
-bool apply_document(
-    document_state& state, chain_state& chain, std::string_view text,
-    const std::string& from, time_point now, control_actions& actions)
-{
-    auto parsed = state.settings.read(text, state.settings.fleet_secret);
-    if (!parsed.ok())
-    {
-        emit(
-            actions, event_kind::configuration_rejected,
-            "from " + from + ": " + std::string(parsed.status().message()));
-        return false;
-    }
-    if (parsed->revision > chain.current->revision)
-    {
-        set_current(state, chain, *std::move(parsed), text, from, now, actions);
-    }
-    return true;
-}
-
 void record_failure(
     document_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions)
@@ -240,88 +170,6 @@
     state.next_call_at = now + check_interval;
 }
 
-void send(host_id to, const chain_message& message, control_actions& actions)
-{
-    actions.messages.push_back(
-        {to, message_kind::configuration, transport::stream, encode(message)});
-}
-
-void pull_if_behind(
-    document_state& state, const chain_state& chain,
-    const membership_state& members, time_point now, control_actions& actions)
-{
-    if (members.highest_revision <= chain.current->revision ||
-        members.highest_revision_host == host_id::none)
-    {
-        state.behind_since = {};
-        return;
-    }
-    if (state.behind_since == time_point{})
-    {
-        state.behind_since = now;
-    }
-    const bool is_follower = !state.watchers.is_watcher;
-    const duration delay = is_follower ? duration::zero() : pull_delay;
-    if (now < state.behind_since + delay || now < state.pull.expires_at)
-    {
-        return;
-    }
-    state.pull = {members.highest_revision_host, now + pull_timeout};
-    state.incoming = {};
-    chain_message message;
-    message.kind = message_body::pull;
-    message.revision = chain.current->revision;
-    send(state.pull.from, message, actions);
-}
-
-void answer_pull(
-    const document_state& state, const chain_state& chain, host_id to,
-    std::uint64_t after, control_actions& actions)
-{
-    if (chain.current->revision <= after || state.text.empty())
-    {
-        return;
-    }
-    const auto parts = split_snapshot(state.text);
-    chain_message message;
-    message.kind = message_body::snapshot_part;
-    message.snapshot = {
-        chain.current->revision, 0, static_cast<std::uint32_t>(parts.size())};
-    for (const auto& part : parts)
-    {
-        message.bytes = part;
-        send(to, message, actions);
-        ++message.part;
-    }
-}
-
-void handle_snapshot_part(
-    document_state& state, chain_state& chain, host_id from,
-    const chain_message& message, time_point now, control_actions& actions)
-{
-    // Only parts that this node has requested are accepted, which bounds its
-    // memory.
-    if (from != state.pull.from ||
-        message.snapshot.revision <= chain.current->revision ||
-        message.snapshot.parts > max_snapshot_parts)
-    {
-        return;
-    }
-    if (state.incoming.head.revision != message.snapshot.revision)
-    {
-        state.incoming = {message.snapshot, from, {}};
-        state.incoming.parts.resize(message.snapshot.parts);
-    }
-    if (!add_snapshot_part(state.incoming, message.part, message.bytes))
-    {
-        return;
-    }
-    apply_document(
-        state, chain, join_parts(state.incoming), "host " + to_string(from),
-        now, actions);
-    state.incoming = {};
-}
-
 } // namespace
 
 bool reads_documents(const document_state& state)
--- a/src/core/trees/tree_allotment.cpp
+++ b/src/core/trees/tree_allotment.cpp
@@ -1,6 +1,7 @@
 #include "core/trees/tree_allotment.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace cyclamenhold
@@ -95,6 +96,7 @@
 void fill_guaranteed(std::vector<allotted_row>& rows, slots_by_service& free)
 {
     std::vector<allotted_row*> all;
+    all.reserve(rows.size());
     for (auto& row : rows)
     {
         all.push_back(&row);
--- a/tests/core/placement_test.cpp
+++ b/tests/core/placement_test.cpp
@@ -103,7 +103,7 @@
     // The data centres to which a request is sent until all of its attempts are
     // used up, each of which fails before it runs.
     std::set<std::string>
-    places(const std::string& route, std::optional<std::string> key)
+    places(const std::string& route, const std::optional<std::string>& key)
     {
         std::set<std::string> found;
         for (int i = 0; i < 50; ++i)
--- a/tests/support/tree_fleet.hpp
+++ b/tests/support/tree_fleet.hpp
@@ -100,22 +100,22 @@
             meet_others(*host);
             trees_start(host->trees, host->trees.settings, now, random);
         }
-        result.routes.resize(deployment.routes.size());
-        next_root.assign(deployment.routes.size(), now);
+        result_.routes.resize(deployment.routes.size());
+        next_root_.assign(deployment.routes.size(), now);
     }
 
     // Runs for `time` and returns what happened to the requests that arrived in
     // it.
     tree_result run(duration time)
     {
-        result = {};
-        result.routes.resize(deployment.routes.size());
+        result_ = {};
+        result_.routes.resize(deployment.routes.size());
         const time_point end = now + time;
         while (now < end)
         {
             step();
         }
-        return result;
+        return result_;
     }
 
     tree_deployment deployment;
@@ -192,7 +192,7 @@
 
     void at(time_point when, std::function<void()> action)
     {
-        events.emplace(when, std::move(action));
+        events_.emplace(when, std::move(action));
     }
 
     // Runs what is due in the next 5 ms, and the periodic work after it.
@@ -200,11 +200,11 @@
     {
         const time_point until = now + 5ms;
         add_arrivals(until);
-        while (!events.empty() && events.begin()->first <= until)
+        while (!events_.empty() && events_.begin()->first <= until)
         {
-            now = std::max(now, events.begin()->first);
-            auto action = std::move(events.begin()->second);
-            events.erase(events.begin());
+            now = std::max(now, events_.begin()->first);
+            auto action = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
             action();
         }
         now = until;
@@ -223,7 +223,7 @@
         for (std::size_t route = 0; route < deployment.routes.size(); ++route)
         {
             const double rate = deployment.routes[route].per_second;
-            for (time_point& next = next_root[route];
+            for (time_point& next = next_root_[route];
                  rate > 0.0 && next < until;
                  next += from_seconds(
                      std::exponential_distribution<double>(rate)(random)))
@@ -234,7 +234,7 @@
                        enter(route);
                    });
             }
-            next_root[route] = std::max(next_root[route], until - 5ms);
+            next_root_[route] = std::max(next_root_[route], until - 5ms);
         }
     }
 
@@ -298,7 +298,7 @@
     void enter(std::size_t route)
     {
         const tree_route& settings = deployment.routes[route];
-        tree_counts_of_route& counts = result.routes[route];
+        tree_counts_of_route& counts = result_.routes[route];
         tree_host& host = random_host();
         const tree_key key{
             route_id_of(settings.name),
@@ -322,7 +322,7 @@
             route, context, 2,
             [this, route](bool succeeded)
             {
-                tree_counts_of_route& ended = result.routes[route];
+                tree_counts_of_route& ended = result_.routes[route];
                 ++(succeeded ? ended.served : ended.failed);
             });
     }
@@ -345,7 +345,7 @@
             load_of(*first) <= load_of(*second) ? *first : *second;
         context.service = service_id_of(deployment.services[service].name);
         context.route = route_id_of(deployment.routes[route].name);
-        const gate_entry_id entry = ++last_entry;
+        const gate_entry_id entry = ++last_entry_;
         host.waiting[entry] = [this, &host, entry, route, context, others,
                                done = std::move(done)](refusal reason) mutable
         {
@@ -402,7 +402,7 @@
         tree_host& host, gate_entry_id entry, std::size_t route,
         const request_context& context, end_of_call done)
     {
-        ++result.runs;
+        ++result_.runs;
         observe_start(
             host.observer, entry, context.route, context.depth > 0,
             context.deadline, now);
@@ -448,7 +448,7 @@
                     call_next(run);
                     return;
                 }
-                ++result.runs_with_failed_calls;
+                ++result_.runs_with_failed_calls;
                 end(run, false);
             });
     }
@@ -463,10 +463,10 @@
         run->done(succeeded);
     }
 
-    std::multimap<time_point, std::function<void()>> events;
-    std::vector<time_point> next_root;
-    gate_entry_id last_entry = 0;
-    tree_result result;
+    std::multimap<time_point, std::function<void()>> events_;
+    std::vector<time_point> next_root_;
+    gate_entry_id last_entry_ = 0;
+    tree_result result_;
 };
 
 } // namespace cyclamenhold::testing_support
