--- a/src/core/configuration/document_watchers.cpp
+++ b/src/core/configuration/document_watchers.cpp
@@ -17,8 +17,8 @@
 // centre of a thousand hosts.
 constexpr std::size_t fan_out = 8;
 constexpr duration ping_interval = 500ms;
-// A node with children pings more often: what its proof is old, those of all
-// nodes below it are too.
+// A node with children pings more often, as the proofs of all nodes below it
+// are at least as old as its own.
 constexpr duration inner_ping_interval = 300ms;
 // A node that has not received a newer version from a member in this time reads
 // it itself.
