--- a/src/core/configuration/document_pull.hpp
+++ b/src/core/configuration/document_pull.hpp
@@ -7,8 +7,8 @@
 namespace cyclamenhold
 {
 
-// Asks the host with the highest version that the members know of for it, if
-// that is newer than the current one.
+// Requests the highest version that a member has reported, if it is newer than
+// the current one.
 void pull_if_behind(
     document_state& state, const chain_state& chain,
     const membership_state& members, time_point now, control_actions& actions);
--- a/src/core/configuration/document_watchers.hpp
+++ b/src/core/configuration/document_watchers.hpp
@@ -2,8 +2,8 @@
 // a few hosts two of them watch it, and the others receive changes and proofs
 // of freshness through a tree of members: each node pings its parent, whose
 // answer has the age of the parent's newest proof, and a node with a newer
-// version tells its children at once. A node without a recent proof calls the
-// platform itself, so that no bound depends on the watchers.
+// version notifies its children at once. A node without a recent proof calls
+// the platform itself, so that no bound depends on the watchers.
 #pragma once
 
 #include "core/base/random.hpp"
@@ -28,7 +28,7 @@
     // member_targets::version of the last update.
     std::uint64_t targets_version = 0;
     time_point next_ping_at{};
-    // What the children were told last.
+    // The version and the evacuations last sent to the children.
     std::uint64_t told_revision = 0;
     evacuation_list told_evacuations;
 };
@@ -53,7 +53,7 @@
     const document_watchers& watchers, const chain_state& chain,
     const membership_state& members, time_point behind_since, time_point now);
 
-// Pings the parent when that is due, and tells the children of changes.
+// Pings the parent when that is due, and sends changes to the children.
 void exchange_proofs(
     document_watchers& watchers, membership_state& members, time_point now,
     random_source& random, control_actions& actions);
