--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -136,7 +136,7 @@
         self.items = {}
         self.history = []
         self.leases = {}
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.calls = 0
 
     def put(self, key, value, lease=0):
@@ -166,8 +166,8 @@
             self.drop(key)
 
     async def wake(self):
-        async with self.changed:
-            self.changed.notify_all()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
 
     async def write_configuration(self, document):
         """Writes op/config; the return is the acknowledgement."""
@@ -224,11 +224,10 @@
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "asOf": self.revision}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
 
     async def transact(self, body):
         expected = body.get("expect", [])
@@ -354,6 +353,7 @@
             writer.close()
 
     async def serve_one(self, reader, writer, line, fields):
+        special = self.special
         request_id = fields.get(REQUEST_ID, "")
         echo = f"X-Cyclamenhold-Request-Id: {request_id}\r\n"
         body = await read_body(reader, fields)
@@ -368,8 +368,8 @@
         async with self.free:
             self.bed.record("run", request_id, worker=self.id, line=line,
                             body=len(body))
-            if self.special:
-                return await self.special(reader, writer, echo)
+            if special:
+                return await special(reader, writer, echo)
             await asyncio.sleep(self.work_s)
             text = b"answer to " + request_id.encode()
             writer.write((
@@ -407,11 +407,15 @@
                 "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
                 "valueBytes": 1048576, "ttlMinS": 1}}
 
-    def start(self):
-        """Starts the node with the command of the deploy file."""
+    def write_settings(self):
         path = os.path.join(self.bed.folder, self.name + ".settings")
         with open(path, "w", encoding="utf-8") as file:
             file.write(render(self.bed.template, [self.settings()]))
+        return path
+
+    def start(self):
+        """Starts the node with the command of the deploy file."""
+        path = self.write_settings()
         log = open(os.path.join(self.bed.folder, self.name + ".log"), "ab")
         self.process = subprocess.Popen(
             self.bed.command, cwd=REPOSITORY, stdout=log, stderr=log,
@@ -524,10 +528,6 @@
                 worker.server.close()
         if self.store_server:
             self.store_server.close()
-        for task in asyncio.all_tasks():
-            if task is not asyncio.current_task():
-                task.cancel()
-        await asyncio.sleep(0.1)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -578,11 +578,12 @@
             machine.ip, bed.ports["outbound"], limit=1 << 20)
         length = f"Content-Length: {len(body)}\r\n" \
             if body or method == "POST" else ""
+        authorization = f"Authorization: Bearer {key}\r\n" if key else ""
         writer.write((
             f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
             f"X-Cyclamenhold-Request-Id: {request_id}\r\n"
             f"X-Cyclamenhold-Deadline-Ms: {deadline_ms}\r\n"
-            f"Authorization: Bearer {key}\r\n{length}\r\n").encode() + body)
+            f"{authorization}{length}\r\n").encode() + body)
         await writer.drain()
         head = await read_head(reader)
         if head is None:
@@ -600,3 +601,16 @@
     bed.record("answered" if status else "unanswered", request_id,
                status=status, note=answer[:40].decode("latin-1"))
     return status, answer
+
+
+def run(main):
+    """Runs a case and exits: 0 the rule held, 1 broken, 2 could not run."""
+    async def limited():
+        async with asyncio.timeout(110):
+            return await main()
+    try:
+        code = asyncio.run(limited())
+    except BaseException as error:  # pylint: disable=broad-except
+        print(f"the case could not run: {error!r}")
+        code = 2
+    raise SystemExit(code)
