--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "needs Python 3.11"'
-for file in common-2/*.py [6-9]/*.py 10/*.py; do
+for file in common-2/*.py [6-9]/*.py 10/*.py trials-2/*/*.py; do
     if [ -e "$file" ]; then
         python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
     fi
