--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -610,6 +610,9 @@
 def run(main):
     """Runs a case and exits: 0 the rule held, 1 broken, 2 could not run."""
     async def limited():
+        # Ends the processes also when the script itself is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(110):
             return await main()
     try:
