--- a/src/adapters/control_loop.cpp
+++ b/src/adapters/control_loop.cpp
@@ -383,6 +383,45 @@
     return announcement;
 }
 
+// Records the departure of an upstream process, so that announcements which it
+// sent before have no effect on this node process or a later one. One that
+// doesn't identify itself can't be recorded.
+void record_departure(control_loop& loop, const departed_process& process)
+{
+    if (process.id.empty() || process.started_ms == 0)
+    {
+        return;
+    }
+    run_control_event(
+        loop,
+        [&](control_actions& actions)
+        {
+            control_on_departure(
+                loop.state, process, now(), loop.random, actions);
+        });
+}
+
+void drain_upstream(control_loop& loop)
+{
+    publish_upstream(loop, on_drain(loop.upstream));
+    record_departure(loop, {loop.upstream.id, loop.upstream.started_ms});
+}
+
+bool has_left(const control_loop& loop, const departed_process& process)
+{
+    return has_departed(loop.state.departures, process.id, process.started_ms);
+}
+
+// Applies a departure that an earlier node process has acknowledged.
+void apply_recorded_departure(control_loop& loop)
+{
+    if (is_accepting(loop.upstream) &&
+        has_left(loop, {loop.upstream.id, loop.upstream.started_ms}))
+    {
+        publish_upstream(loop, on_drain(loop.upstream));
+    }
+}
+
 void tick(control_loop& loop)
 {
     run_control_event(
@@ -403,6 +442,7 @@
                       loop.upstream, configured_cold_rate(
                                          loop, loop.upstream.record.service)));
         publish_upstream(loop, check_upstream(loop.upstream, now()));
+        apply_recorded_departure(loop);
     }
     if (loop.state.trees.settings.is_enabled)
     {
@@ -573,13 +613,19 @@
         loop.io,
         [&loop, announcement]
         {
-            if (!loop.leaving)
+            const departed_process process{
+                announcement.id, announcement.started_ms};
+            if (loop.leaving || has_left(loop, process))
             {
-                publish_upstream(
-                    loop,
-                    on_announcement(
-                        loop.upstream,
-                        with_service_settings(loop, announcement), now()));
+                return;
+            }
+            publish_upstream(
+                loop, on_announcement(
+                          loop.upstream,
+                          with_service_settings(loop, announcement), now()));
+            if (announcement.record.state == upstream_state::draining)
+            {
+                record_departure(loop, process);
             }
         });
 }
@@ -590,7 +636,7 @@
         loop.io,
         [&loop]
         {
-            publish_upstream(loop, on_drain(loop.upstream));
+            drain_upstream(loop);
         });
 }
 
@@ -602,7 +648,7 @@
         {
             if (loop.upstream.incarnation == incarnation)
             {
-                publish_upstream(loop, on_drain(loop.upstream));
+                drain_upstream(loop);
             }
         });
 }
@@ -666,7 +712,12 @@
         loop.io,
         [&loop, departure]
         {
+            const bool is_known =
+                departure.started_ms == 0 && departure.id == loop.upstream.id;
+            const std::uint64_t started_ms =
+                is_known ? loop.upstream.started_ms : departure.started_ms;
             publish_upstream(loop, on_leave(loop.upstream, departure));
+            record_departure(loop, {departure.id, started_ms});
         });
 }
 
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -225,6 +225,7 @@
     membership.indirect_probes = node.settings.membership.indirect_probes;
     settings.chain = {node.services.self, data_centre};
     const protocol_profile& profile = node.services.profile;
+    settings.records_departures = profile.parse_upstream_message != nullptr;
     if (profile.read_document != nullptr)
     {
         settings.document.key = profile.document_key;
--- a/src/adapters/upstream_monitor.cpp
+++ b/src/adapters/upstream_monitor.cpp
@@ -97,14 +97,14 @@
     return !announcement.id.empty() || monitor.cold_known_from != time_point{};
 }
 
+} // namespace
+
 bool is_accepting(const upstream_monitor& monitor)
 {
     return monitor.record.state == upstream_state::warming ||
            monitor.record.state == upstream_state::serving;
 }
 
-} // namespace
-
 asio::ip::tcp::endpoint endpoint_of(const ip_endpoint& endpoint)
 {
     return {asio::ip::address_v4(endpoint.address), endpoint.port};
--- a/src/adapters/upstream_monitor.hpp
+++ b/src/adapters/upstream_monitor.hpp
@@ -36,6 +36,9 @@
     time_point cold_known_from{};
 };
 
+// Whether the upstream is announced and takes requests.
+[[nodiscard]] bool is_accepting(const upstream_monitor& monitor);
+
 [[nodiscard]] asio::ip::tcp::endpoint endpoint_of(const ip_endpoint& endpoint);
 
 // Each returns the record to advertise if it has changed.
--- a/src/core/node/control.cpp
+++ b/src/core/node/control.cpp
@@ -93,6 +93,7 @@
     document_begin_era(state.document, era, now);
     membership_begin_era(state.membership, now, random);
     quarantine_begin_era(state.quarantine, now, random);
+    departures_begin_era(state.departures, now, random);
 }
 
 bool has_tree_budgets(const control_state& state)
@@ -132,6 +133,11 @@
     quarantine_settings quarantine;
     quarantine.self = settings.membership.self;
     quarantine_start(state.quarantine, quarantine);
+    if (settings.records_departures)
+    {
+        departures_start(state.departures, settings.membership.self);
+        departures_tick(state.departures, now, random, actions);
+    }
     trees_start(state.trees, settings.trees, now, random);
 }
 
@@ -164,6 +170,7 @@
     quarantine_tick(
         state.quarantine, state.membership, wall_clock_ms, now, random,
         actions);
+    departures_tick(state.departures, now, random, actions);
 }
 
 void control_on_message(
@@ -254,9 +261,21 @@
         quarantine_on_platform_reply(
             state.quarantine, reply, now, random, actions);
         return;
+    case platform_client::departures:
+        departures_on_platform_reply(
+            state.departures, reply, now, random, actions);
+        return;
     }
 }
 
+void control_on_departure(
+    control_state& state, const departed_process& process, time_point now,
+    random_source& random, control_actions& actions)
+{
+    add_departure(state.departures, process);
+    departures_tick(state.departures, now, random, actions);
+}
+
 time_point control_due(const control_state& state)
 {
     const time_point configuration_due = reads_documents(state.document)
@@ -265,7 +284,7 @@
     return std::min(
         {membership_due(state.membership), configuration_due,
          rates_due(state.rates), claims_due(state.claims),
-         quarantine_due(state.quarantine),
+         quarantine_due(state.quarantine), departures_due(state.departures),
          has_tree_budgets(state) ? trees_due(state.trees) : time_point::max()});
 }
 
--- a/src/core/node/control.hpp
+++ b/src/core/node/control.hpp
@@ -5,6 +5,7 @@
 #include "core/claims/claims.hpp"
 #include "core/configuration/chain.hpp"
 #include "core/configuration/document_source.hpp"
+#include "core/departures/departure_record.hpp"
 #include "core/membership/membership.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/rates/rates.hpp"
@@ -26,6 +27,9 @@
     rates_settings rates;
     claims_settings claims;
     trees_settings trees;
+    // Whether upstream processes identify themselves, so that those that have
+    // left can be recorded.
+    bool records_departures = false;
 };
 
 // The control state of one node. The rate_limiter is shared with the request
@@ -39,6 +43,7 @@
     rates_state rates;
     claims_state claims;
     quarantine_state quarantine;
+    departure_record departures;
     trees_state trees;
     rate_limiter* limiter = nullptr;
     // Null if call trees have no budgets.
@@ -74,6 +79,11 @@
     control_state& state, const platform_reply& reply, time_point now,
     random_source& random, control_actions& actions);
 
+// Records that a process of this host's upstream has announced its departure.
+void control_on_departure(
+    control_state& state, const departed_process& process, time_point now,
+    random_source& random, control_actions& actions);
+
 // The time at which control_tick must run next.
 [[nodiscard]] time_point control_due(const control_state& state);
 
--- a/src/ports/platform.hpp
+++ b/src/ports/platform.hpp
@@ -59,7 +59,8 @@
     configuration,
     roster,
     intent,
-    quarantine
+    quarantine,
+    departures
 };
 
 struct platform_call
--- a/tests/adapters/ctl_node_test.cpp
+++ b/tests/adapters/ctl_node_test.cpp
@@ -1,15 +1,14 @@
 // The command line tools against a real node and the stand-in platform.
 #include "adapters/node_runtime.hpp"
 #include "ctl.hpp"
-#include "platform_server.hpp"
 #include "trace.hpp"
 
 #include "platform/protocol_profile.hpp"
+#include "support/running_platform.hpp"
 
 #include <chrono>
 #include <fstream>
 #include <sstream>
-#include <thread>
 
 #include <boost/json.hpp>
 #include <gmock/gmock.h>
@@ -25,43 +24,6 @@
 constexpr const char* credential = "operators-only-123";
 constexpr auto platform_timeout = std::chrono::seconds(20);
 
-const ip_endpoint any_port = *parse_ip_endpoint("127.0.0.1:0");
-
-// A stand-in platform on a separate thread.
-class running_platform
-{
-public:
-    running_platform() : server_(make_platform_server(context_.get_executor()))
-    {
-        const auto bound = start_platform_server(
-            server_, {boost::asio::ip::address_v4::loopback(), 0});
-        endpoint_ = {any_port.address, bound->port()};
-        thread_ = std::thread(
-            [this]
-            {
-                context_.run();
-            });
-    }
-    ~running_platform()
-    {
-        context_.stop();
-        thread_.join();
-    }
-    running_platform(const running_platform&) = delete;
-    running_platform& operator=(const running_platform&) = delete;
-
-    [[nodiscard]] ip_endpoint endpoint() const
-    {
-        return endpoint_;
-    }
-
-private:
-    boost::asio::io_context context_;
-    std::shared_ptr<platform_server> server_;
-    ip_endpoint endpoint_;
-    std::thread thread_;
-};
-
 node_settings settings_for(const ip_endpoint& platform)
 {
     node_settings settings;
