--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -19,6 +19,9 @@
 // before new work is refused.
 constexpr auto leave_propagation_time = std::chrono::milliseconds(1'500);
 constexpr auto stop_poll_interval = std::chrono::milliseconds(50);
+// From the deadline of the last request to the end of a planned stop: the time
+// in which its reply is written.
+constexpr auto last_reply_time = std::chrono::milliseconds(100);
 // Between two checks of the gate's queue, and of an empty one.
 constexpr auto gate_tick_interval = std::chrono::milliseconds(10);
 constexpr auto idle_gate_tick_interval = std::chrono::milliseconds(50);
@@ -711,10 +714,12 @@
     }
     // The port for callers stays open until the end: a refusal gives them a
     // reason, a closed port does not.
-    // Requests that are taken have the second half of the stop at least.
-    const time_point refusal_start = start + (until - start) / 2;
-    std::size_t left = wait_until_drained(node, abort_requests, refusal_start);
-    node.services.path.refuses_new = true;
+    std::size_t left = wait_until_drained(
+        node, abort_requests, start + acceptance_time_of(node.settings));
+    // Callers that have not been redirected by now get answers to what ends in
+    // time.
+    node.services.path.latest_deadline =
+        (until - last_reply_time).time_since_epoch().count();
     left = wait_until_drained(node, abort_requests, until);
     record_lifecycle(
         node, event_kind::node_stopped,
--- a/src/adapters/settings.hpp
+++ b/src/adapters/settings.hpp
@@ -189,6 +189,11 @@
 [[nodiscard]] std::chrono::milliseconds
 stop_timeout_of(const node_settings& settings);
 
+// For how long a stopping node takes requests that may last longer than the
+// rest of the stop.
+[[nodiscard]] std::chrono::milliseconds
+acceptance_time_of(const node_settings& settings);
+
 struct settings_result
 {
     // Valid only if `found` is empty.
--- a/src/adapters/settings_bounds.cpp
+++ b/src/adapters/settings_bounds.cpp
@@ -1,5 +1,7 @@
 #include "adapters/settings.hpp"
 
+#include <algorithm>
+
 namespace cyclamenhold
 {
 namespace
@@ -9,6 +11,10 @@
 // the end of the process.
 constexpr double used_part_of_bound = 0.9;
 
+// After this time the readiness probes, one a second, have redirected callers:
+// a node is taken out after two that fail.
+constexpr double redirection_seconds = 3.0;
+
 std::chrono::milliseconds within(double bound_seconds)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -31,4 +37,9 @@
                : settings.stop_timeout;
 }
 
+std::chrono::milliseconds acceptance_time_of(const node_settings& settings)
+{
+    return std::min(stop_timeout_of(settings) / 2, within(redirection_seconds));
+}
+
 } // namespace cyclamenhold
--- a/src/core/request/call.cpp
+++ b/src/core/request/call.cpp
@@ -341,11 +341,6 @@
     request_path& path, call_state& call, const call_request& request,
     time_point now, random_source& random)
 {
-    if (path.refuses_new)
-    {
-        return refuse(
-            refusal::draining, outcome::not_run, retry_delay(path, random));
-    }
     const auto tables = path.tables.read();
     if (tables->revision == 0)
     {
@@ -394,6 +389,12 @@
         return refuse_unreadable(*tables, "the rate of the workspace");
     }
     fill_context(path, call, request, *route, workspace, now, random);
+    if (call.context.deadline.time_since_epoch().count() >
+        path.latest_deadline.load(std::memory_order_relaxed))
+    {
+        return refuse(
+            refusal::draining, outcome::not_run, retry_delay(path, random));
+    }
     apply_workspace(*tables, call);
     call.route = route->settings.name;
     if (path.treats_keyless_as_calls && call.context.depth > 0)
--- a/src/core/request/call.hpp
+++ b/src/core/request/call.hpp
@@ -57,8 +57,11 @@
     // without being counted as a retry.
     bool retries_node_refusals = false;
     std::atomic<bool> draining{false};
-    // A planned stop is so close that new requests might be interrupted.
-    std::atomic<bool> refuses_new{false};
+    // New requests with a later deadline are refused, because a planned stop
+    // might interrupt them. Nanoseconds of the clock; the maximum value while
+    // none is due.
+    std::atomic<std::int64_t> latest_deadline{
+        std::numeric_limits<std::int64_t>::max()};
     // The clock stops while the host is suspended. A proof of freshness from
     // before the last resume is therefore not valid. Nanoseconds of the clock.
     std::atomic<std::int64_t> resumed_at{0};
--- a/tests/core/entry_test.cpp
+++ b/tests/core/entry_test.cpp
@@ -63,9 +63,11 @@
 
     call_step enter(
         call_state& call, std::string target, std::optional<std::string> key,
-        time_point now = start_time)
+        time_point now = start_time,
+        std::optional<std::chrono::milliseconds> timeout = std::nullopt)
     {
         call_request request;
+        request.timeout = timeout;
         request.method = "GET";
         request.target = std::move(target);
         request.key = std::move(key);
@@ -78,17 +80,42 @@
     std::uint64_t last_id = 0;
 };
 
-TEST(entry, refuses_new_requests_before_a_stop)
+// A stopping node took requests for half of the stop, whatever time they had,
+// and cut those that lasted longer than the other half (LOST).
+TEST(entry, a_stopping_node_refuses_what_may_outlast_it)
 {
     entry_node node;
     call_state before;
     EXPECT_EQ(node.enter(before, true).kind, call_step_kind::attempt);
-    node.path.refuses_new = true;
-    call_state after;
-    const call_step step = node.enter(after, true);
-    EXPECT_EQ(step.kind, call_step_kind::refuse);
-    EXPECT_EQ(step.reason, refusal::draining);
-    EXPECT_EQ(http_status_of(step.reason, step.result), 503U);
+    node.path.latest_deadline = (start_time + 2s).time_since_epoch().count();
+    const auto enter = [&](bool keyed, std::chrono::milliseconds timeout)
+    {
+        call_state call;
+        return node.enter(
+            call, keyed ? "/bookings/1" : "/calls/1",
+            keyed ? std::optional<std::string>("key") : std::nullopt,
+            start_time, timeout);
+    };
+    for (const bool keyed : {true, false})
+    {
+        SCOPED_TRACE(keyed ? "a request with a key" : "a call");
+        EXPECT_EQ(enter(keyed, 2000ms).kind, call_step_kind::attempt);
+        const call_step step = enter(keyed, 2001ms);
+        EXPECT_EQ(step.kind, call_step_kind::refuse);
+        EXPECT_EQ(step.reason, refusal::draining);
+        EXPECT_EQ(step.result, outcome::not_run);
+        EXPECT_EQ(http_status_of(step.reason, step.result), 503U);
+    }
+    {
+        SCOPED_TRACE("without a timeout the route's limit counts");
+        call_state call;
+        EXPECT_EQ(node.enter(call, true).reason, refusal::draining);
+    }
+    {
+        SCOPED_TRACE("at the latest deadline nothing is taken");
+        node.path.latest_deadline = start_time.time_since_epoch().count();
+        EXPECT_EQ(enter(true, 1ms).reason, refusal::draining);
+    }
 }
 
 // Requests were quarantined by path and workspace. After one had crashed
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -155,6 +155,22 @@
     }
 }
 
+// With a grace of 10 s requests that may outlast the stop were taken for 4.5 s
+// of it, long after the platform has redirected callers (LOST).
+TEST(settings_template, a_stopping_node_takes_long_requests_for_three_seconds)
+{
+    using std::chrono::duration;
+    for (const double grace_s : {3.0, 6.0, 10.0, 30.0})
+    {
+        SCOPED_TRACE(grace_s);
+        const auto settings = settings_for({{"graceS", grace_s}});
+        const duration<double> taken = acceptance_time_of(settings);
+        EXPECT_LT(taken, duration<double>(3.0));
+        EXPECT_LE(2 * taken, stop_timeout_of(settings));
+        EXPECT_GT(taken, duration<double>(std::min(2.5, grace_s * 0.4)));
+    }
+}
+
 // The same for the time within which a removed key must have no effect
 // (CONFIG).
 TEST(settings_template, keys_are_trusted_for_less_than_their_revocation_takes)
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -4,6 +4,7 @@
 #include "process/scripted_upstream.hpp"
 
 #include <csignal>
+#include <future>
 #include <set>
 
 namespace cyclamenhold
@@ -131,5 +132,70 @@
     }
 }
 
+// Requests that came more than 3 s after the signal were taken for half of the
+// stop and cut when it ended (LOST). One that may outlast the stop must be
+// refused, one that ends before it is still answered.
+TEST(planned_stop, late_requests_that_may_outlast_it_are_refused)
+{
+    constexpr auto stop_timeout = milliseconds(9'000);
+    constexpr auto sent_after = milliseconds(3'300);
+    constexpr auto service_time = milliseconds(5'800);
+    fleet hosts;
+    hosts.stop_timeout = stop_timeout;
+    hosts.add_node();
+    hosts.add_node();
+    std::atomic<int> late_runs{0};
+    const scripted_upstream upstream(
+        hosts.nodes[1]->endpoint("upstream"), "orders",
+        [&](const scripted_request& request, scripted_reply& reply)
+        {
+            if (request.target == "/long/early" ||
+                request.target == "/long/late")
+            {
+                late_runs += request.target == "/long/late" ? 1 : 0;
+                std::this_thread::sleep_for(service_time);
+            }
+            return reply.write(
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+    hosts.configure(
+        {{{"op", "put-data-centre"},
+          {"name", "brno"},
+          {"region", "moravia"},
+          {"weight", 1}},
+         {{"op", "put-route"},
+          {"name", "long"},
+          {"path_prefix", "/long"},
+          {"service", "orders"},
+          {"deadline_ms", 8'000},
+          {"open", true}},
+         {{"op", "put-route"},
+          {"name", "short"},
+          {"path_prefix", "/short"},
+          {"service", "orders"},
+          {"deadline_ms", 2'000},
+          {"open", true}}});
+    ASSERT_TRUE(hosts.wait_until_served(0, "/short/ready", {}));
+    ASSERT_TRUE(hosts.wait_until_served(0, "/long/ready", {}));
+    const auto get = [callers = hosts.nodes[0]->endpoint("callers")](
+                         const std::string& target)
+    {
+        return send_once(callers, {http::verb::get, target, {}, {}, {}});
+    };
+    // Keeps the node from stopping at once.
+    auto early = std::async(std::launch::async, get, "/long/early");
+    std::this_thread::sleep_for(milliseconds(200));
+    hosts.nodes[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(sent_after);
+    auto late = std::async(std::launch::async, get, "/long/late");
+    EXPECT_EQ(get("/short/late").status, 200U);
+    EXPECT_EQ(early.get().status, 200U);
+    const http_answer refusal = late.get();
+    EXPECT_EQ(refusal.status, 503U);
+    EXPECT_EQ(refusal.outcome, "not-run");
+    EXPECT_EQ(late_runs, 0);
+    EXPECT_EQ(hosts.nodes[0]->wait(), 0);
+}
+
 } // namespace
 } // namespace cyclamenhold
