--- a/src/adapters/http_fields.hpp
+++ b/src/adapters/http_fields.hpp
@@ -37,6 +37,14 @@
 [[nodiscard]] std::string_view
 bearer_of(const boost::beast::http::fields& fields);
 
+// Whether the reply to a request with this method has no body, whatever its
+// fields say.
+[[nodiscard]] constexpr bool
+is_bodyless(std::string_view method, unsigned status)
+{
+    return method == "HEAD" || status == 204 || status == 304;
+}
+
 // Whether a status ends a request by the rules of HTTP: interim ones are
 // followed by another, and those outside of these classes have no meaning.
 [[nodiscard]] constexpr bool is_final_status(unsigned status)
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -36,6 +36,12 @@
     return text.data();
 }
 
+bool is_bodyless_to(const caller_request& caller, unsigned status)
+{
+    const auto method = caller.parser->get().method_string();
+    return is_bodyless({method.data(), method.size()}, status);
+}
+
 // A reply in front of requests that already run leaves the connection open
 // during a planned stop, so that these are answered too.
 bool is_keep_alive(const caller_request& caller)
@@ -117,10 +123,7 @@
 {
     http::response<http::string_body> response;
     fill_head(response, *caller, *event.head, trace);
-    const bool bodyless = caller->parser->get().method() == http::verb::head ||
-                          event.head->status == 204 ||
-                          event.head->status == 304;
-    if (bodyless)
+    if (is_bodyless_to(*caller, event.head->status))
     {
         http::response<http::empty_body> empty(std::move(response.base()));
         if (event.head->body_size)
@@ -220,7 +223,8 @@
 asio::awaitable<bool> gather_small(exchange_ptr work, reply_event& first)
 {
     const auto size = first.head->body_size;
-    const bool small = size && *size <= max_chunk_bytes;
+    const bool small = is_bodyless(work->head.method, first.head->status) ||
+                       (size && *size <= max_chunk_bytes);
     while (small && !first.last)
     {
         const bool appended = co_await append_next_piece(work, first);
--- a/src/adapters/reply_writer.hpp
+++ b/src/adapters/reply_writer.hpp
@@ -27,8 +27,9 @@
 
 // Collects into `first` the pieces in which a peer link delivers a reply of at
 // most max_chunk_bytes, so that it is written to the caller at once and a
-// truncated one can still be retried. Does nothing for a reply of a greater or
-// unknown length. False when the reply was truncated.
+// truncated one can still be retried. A reply without a body is complete only
+// with its end. Does nothing for a body of a greater or unknown length. False
+// when the reply was truncated.
 [[nodiscard]] asio::awaitable<bool>
 gather_small(exchange_ptr work, reply_event& first);
 
--- a/src/adapters/upstream_client.cpp
+++ b/src/adapters/upstream_client.cpp
@@ -341,7 +341,7 @@
     }
     reply_event event = make_head_event(call, *parser);
     const unsigned status = parser->get().result_int();
-    const bool bodyless = is_bodyless(call, status);
+    const bool bodyless = is_bodyless(call.work->head.method, status);
     std::unique_ptr<piece_buffer> read_buffer;
     while (true)
     {
--- a/src/adapters/upstream_reply_head.cpp
+++ b/src/adapters/upstream_reply_head.cpp
@@ -56,11 +56,6 @@
     return event;
 }
 
-bool is_bodyless(const upstream_call& call, unsigned status)
-{
-    return call.work->head.method == "HEAD" || status == 204 || status == 304;
-}
-
 bool is_of_other_request(
     const upstream_call& call, const response_parser& parser)
 {
--- a/src/adapters/upstream_reply_head.hpp
+++ b/src/adapters/upstream_reply_head.hpp
@@ -16,9 +16,6 @@
 [[nodiscard]] reply_event
 make_head_event(const upstream_call& call, const response_parser& parser);
 
-// True for a reply without a body: one to HEAD, or with a status that has none.
-[[nodiscard]] bool is_bodyless(const upstream_call& call, unsigned status);
-
 // True for a stray reply: a late second reply to an earlier request on this
 // connection.
 [[nodiscard]] bool
