Write no body to a refused HEAD request (MIXED)

What callers saw: the refusal of a HEAD request had a body, whose bytes stood on the kept connection where the next reply was due.

Cause: only replies of upstreams were written without a body; refusals and the node's own replies did not ask.

Change: write_message, through which all replies pass that are written at once, writes the head only if the reply has no body.

--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -89,14 +89,23 @@
     fill_common(response, caller, trace, outcome::ran);
 }
 
-template <class Response>
-asio::awaitable<bool> write_message(caller_ptr caller, Response& response)
+// Writes a whole reply; to HEAD, and with a status that allows no body, only
+// its head.
+template <class Body>
+asio::awaitable<bool>
+write_message(caller_ptr caller, http::response<Body>& response)
 {
     caller->connection->stream.expires_after(
         caller->thread.services.limits.body_stall_timeout);
-    const auto [error, count] = co_await http::async_write(
-        caller->connection->stream, response,
-        asio::as_tuple(asio::use_awaitable));
+    http::response_serializer<Body> serializer(response);
+    const bool bodyless = is_bodyless_to(*caller, response.result_int());
+    const auto [error, count] =
+        bodyless ? co_await http::async_write_header(
+                       caller->connection->stream, serializer,
+                       asio::as_tuple(asio::use_awaitable))
+                 : co_await http::async_write(
+                       caller->connection->stream, serializer,
+                       asio::as_tuple(asio::use_awaitable));
     if (error)
     {
         caller->connection->must_close = true;
@@ -125,12 +134,11 @@
     fill_head(response, *caller, *event.head, trace);
     if (is_bodyless_to(*caller, event.head->status))
     {
-        http::response<http::empty_body> empty(std::move(response.base()));
         if (event.head->body_size)
         {
-            empty.content_length(*event.head->body_size);
+            response.content_length(*event.head->body_size);
         }
-        co_return co_await write_message(caller, empty);
+        co_return co_await write_message(caller, response);
     }
     response.body() = std::move(event.bytes);
     response.content_length(response.body().size());
--- a/tests/process/bodyless_reply_test.cpp
+++ b/tests/process/bodyless_reply_test.cpp
@@ -133,5 +133,18 @@
     }
 }
 
+// The refusal of a HEAD request bore a body, whose bytes stood where the next
+// reply was due (MIXED).
+TEST_F(bodyless_replies, to_a_refused_head_request_end_with_their_head)
+{
+    raw_caller caller(hosts.nodes[0]->endpoint("callers"));
+    for (int repeat = 0; repeat < 3; ++repeat)
+    {
+        const std::string head = caller.read_head("HEAD", "/unknown");
+        EXPECT_TRUE(head.starts_with("HTTP/1.1 404")) << head;
+        EXPECT_NE(head.find("Content-Length"), std::string::npos) << head;
+    }
+}
+
 } // namespace
 } // namespace cyclamenhold
