--- a/src/adapters/callers/caller_connection.cpp
+++ b/src/adapters/callers/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "adapters/callers/caller_connection.hpp"
 
 #include "adapters/call_driver.hpp"
+#include "adapters/clock.hpp"
 
 #include <algorithm>
 
@@ -144,9 +145,11 @@
         [held = connection.shared_from_this()](
             const boost::system::error_code& error)
         {
-            if (!error && held->open.empty())
+            // A wait that ended at the same time as the connection's rest can't
+            // be cancelled any more.
+            if (!error && held->idle_limit.expiry() <= now())
             {
-                held->stream.close();
+                close_if_idle(*held);
             }
         });
 }
@@ -157,6 +160,17 @@
     connection.idle_limit.cancel();
 }
 
+void close_if_idle(caller_connection& connection)
+{
+    boost::system::error_code error;
+    const bool has_arrived = connection.stream.socket().available(error) > 0;
+    if (connection.is_reading && connection.open.empty() && !has_arrived)
+    {
+        // Has no effect on a read that has received bytes.
+        connection.stream.cancel();
+    }
+}
+
 // A wait that is still pending after its request completes on the first byte of
 // the next one.
 void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection)
--- a/src/adapters/callers/caller_connection.hpp
+++ b/src/adapters/callers/caller_connection.hpp
@@ -96,6 +96,10 @@
 void begin_idle(caller_connection& connection);
 void end_idle(caller_connection& connection);
 
+// Closes a connection that is idle. One whose next request has arrived is
+// spared, since that request may already run when the connection ends.
+void close_if_idle(caller_connection& connection);
+
 // Detects the caller's disconnection while nothing is read from the connection.
 void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection);
 
--- a/src/adapters/node_runtime.cpp
+++ b/src/adapters/node_runtime.cpp
@@ -708,7 +708,7 @@
                 announce_going_away(thread.links);
                 for (const auto& caller : thread.idle)
                 {
-                    caller->stream.close();
+                    close_if_idle(*caller);
                 }
             });
     }
--- a/tests/process/fleet_processes.hpp
+++ b/tests/process/fleet_processes.hpp
@@ -233,6 +233,7 @@
             {"operator_credential", operator_credential},
             {"platform", platform.endpoint("listening")},
             {"stop_timeout_ms", stop_timeout.count()},
+            {"limits", limits},
             {"log", json::object{{"level", "error"}}}});
         nodes.push_back(std::make_unique<process>(
             std::vector<std::string>{"cyclamen-node", "--settings", path}));
@@ -299,6 +300,7 @@
 
     // For the nodes added from now on.
     std::chrono::milliseconds stop_timeout{30'000};
+    json::object limits;
     process platform;
     std::vector<std::unique_ptr<process>> nodes;
     std::vector<std::unique_ptr<process>> upstreams;
