Answer what runs behind a reply that is broken off (LOST)

What callers saw: of several requests on one connection the first got a long reply that was broken off, which ends the connection; those behind it had run and got no reply.

Cause: requests behind one that may be repeated run beside it, also while its reply is being written. HTTP/1.1 can say only by the end of the connection that a reply that has begun is incomplete.

Change: a long reply in front of requests that run is collected, up to 1 MiB, before it is written, so that one that is broken off becomes a 502. While a reply is written whose end has not arrived, the next request is not started.

--- a/src/adapters/caller_session.cpp
+++ b/src/adapters/caller_session.cpp
@@ -159,6 +159,7 @@
     {
         co_return false;
     }
+    co_await wait_for_stream(connection);
     if (!may_start(*connection))
     {
         co_return false;
--- a/src/adapters/callers/caller_connection.cpp
+++ b/src/adapters/callers/caller_connection.cpp
@@ -136,6 +136,21 @@
     }
 }
 
+asio::awaitable<void>
+wait_for_stream(std::shared_ptr<caller_connection> connection)
+{
+    if (connection->is_streaming)
+    {
+        watch_for_disconnect(connection);
+    }
+    while (connection->is_streaming && !connection->must_close &&
+           !connection->disconnected)
+    {
+        co_await connection->ended.async_wait(
+            asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 void begin_idle(caller_connection& connection)
 {
     connection.thread.idle.insert(connection.shared_from_this());
--- a/src/adapters/callers/caller_connection.hpp
+++ b/src/adapters/callers/caller_connection.hpp
@@ -49,6 +49,9 @@
     bool disconnected = false;
     // No further reply can be written.
     bool must_close = false;
+    // A reply is being written whose end has not arrived. If it is truncated,
+    // the connection must end.
+    bool is_streaming = false;
 };
 
 // A request that was read from a connection.
@@ -92,6 +95,11 @@
 [[nodiscard]] asio::awaitable<void>
 wait_for_open(std::shared_ptr<caller_connection> connection, std::size_t count);
 
+// Waits until no reply that may still be truncated is being written. Requests
+// behind it that run would lose their replies with the connection.
+[[nodiscard]] asio::awaitable<void>
+wait_for_stream(std::shared_ptr<caller_connection> connection);
+
 // Begins and ends the time after which a connection without requests is closed.
 void begin_idle(caller_connection& connection);
 void end_idle(caller_connection& connection);
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -170,11 +170,12 @@
     }
 }
 
-// Writes a reply of several pieces. False when the reply was truncated or the
-// caller could not be written to.
+// Writes a reply of several pieces. `reported` bytes of the first one have been
+// reported as consumed. False when the reply was truncated or the caller could
+// not be written to.
 asio::awaitable<bool> write_streamed(
     caller_ptr caller, exchange_ptr work, reply_event event, trace_id trace,
-    delivered_reply& delivered)
+    std::size_t reported, delivered_reply& delivered)
 {
     http::response<http::buffer_body> response;
     fill_head(response, *caller, *event.head, trace);
@@ -196,7 +197,8 @@
             co_return false;
         }
         store_body_bytes(delivered, event.bytes);
-        report_consumed_reply(*work, event.bytes.size());
+        report_consumed_reply(*work, event.bytes.size() - reported);
+        reported = 0;
         if (event.last)
         {
             co_return true;
@@ -226,6 +228,31 @@
     co_return true;
 }
 
+// The most that is held of a long reply, so that one that is truncated does not
+// end a connection on which further requests run.
+constexpr std::size_t max_held_reply_bytes = 1024 * 1024;
+
+// Collects a long reply into `first` and reports its bytes as consumed, until
+// it is whole or max_held_reply_bytes are held. False when it was truncated.
+asio::awaitable<bool> hold_reply(exchange_ptr work, reply_event& first)
+{
+    std::size_t reported = 0;
+    while (true)
+    {
+        report_consumed_reply(*work, first.bytes.size() - reported);
+        reported = first.bytes.size();
+        if (first.last || reported >= max_held_reply_bytes)
+        {
+            co_return true;
+        }
+        const bool appended = co_await append_next_piece(work, first);
+        if (!appended)
+        {
+            co_return false;
+        }
+    }
+}
+
 } // namespace
 
 asio::awaitable<bool> gather_small(exchange_ptr work, reply_event& first)
@@ -261,21 +288,37 @@
     {
         co_return delivered;
     }
+    std::size_t reported = 0;
+    if (!first.last && has_followers(*caller))
+    {
+        const bool held = co_await hold_reply(work, first);
+        if (!held)
+        {
+            co_await write_refusal(
+                caller, refusal::upstream_failed, outcome::unknown, {}, trace);
+            co_return delivered;
+        }
+        reported = first.bytes.size();
+    }
     if (first.last)
     {
         store_body_bytes(delivered, first.bytes);
-        const std::size_t size = first.bytes.size();
+        const std::size_t size = first.bytes.size() - reported;
         delivered.whole = co_await write_whole(caller, first, trace);
         report_consumed_reply(*work, size);
         co_return delivered;
     }
+    caller_connection& connection = *caller->connection;
+    connection.is_streaming = true;
     delivered.whole = co_await write_streamed(
-        caller, work, std::move(first), trace, delivered);
+        caller, work, std::move(first), trace, reported, delivered);
+    connection.is_streaming = false;
     if (!delivered.whole)
     {
-        caller->connection->must_close = true;
-        caller->connection->stream.close();
+        connection.must_close = true;
+        connection.stream.close();
     }
+    connection.ended.cancel();
     co_return delivered;
 }
 
--- a/tests/process/pipelining_end_test.cpp
+++ b/tests/process/pipelining_end_test.cpp
@@ -27,6 +27,38 @@
     EXPECT_FALSE(has_started("behind"));
 }
 
+// A long reply was broken off after it had begun, which ends the connection:
+// requests behind it that had run got no answer (LOST).
+TEST_F(pipelining, requests_behind_a_reply_that_is_broken_off)
+{
+    auto caller = connect();
+    caller.send(
+        get("safe", 200, "broken") + get("safe", 10, "second") +
+        get("safe", 10, "third"));
+    EXPECT_EQ(caller.read().first, 502U);
+    EXPECT_EQ(caller.read(), std::pair(200U, std::string("second")));
+    EXPECT_EQ(caller.read(), std::pair(200U, std::string("third")));
+    {
+        SCOPED_TRACE("a long reply that is not broken off");
+        caller.send(get("safe", 100, "long") + get("safe", 10, "fourth"));
+        EXPECT_EQ(caller.read(), std::pair(200U, std::string(200'000, 'x')));
+        EXPECT_EQ(caller.read(), std::pair(200U, std::string("fourth")));
+    }
+    {
+        SCOPED_TRACE("one that has begun delays the next request");
+        caller.send(get("safe", 0, "stalled"));
+        EXPECT_TRUE(wait_until(
+            [this]
+            {
+                return has_started("stalled");
+            }));
+        std::this_thread::sleep_for(200ms);
+        caller.send(get("safe", 0, "late"));
+        EXPECT_EQ(caller.read().first, 0U);
+        EXPECT_FALSE(has_started("late"));
+    }
+}
+
 // A request whose head arrived in part before a closing answer and in part
 // after it was passed on and not answered (LOST).
 TEST_F(pipelining, a_head_that_arrives_around_a_closing_answer)
--- a/tests/process/pipelining_fixture.hpp
+++ b/tests/process/pipelining_fixture.hpp
@@ -74,7 +74,8 @@
 };
 
 // One node whose upstream answers a path like /safe/300/name after 300 ms with
-// the name. A path with "broken" gets a truncated reply.
+// the name. A path with "broken" gets a truncated reply, one with "stalled"
+// gets it after 500 ms.
 class pipelining : public testing::Test
 {
 protected:
@@ -143,10 +144,12 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
                 std::string(200'000, 'x'));
         }
-        if (name.starts_with("broken"))
+        if (name.starts_with("broken") || name.starts_with("stalled"))
         {
             reply.write("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
             reply.write(std::string(100'000, 'x'));
+            std::this_thread::sleep_for(
+                name.starts_with("stalled") ? 500ms : 0ms);
             return false;
         }
         return reply.write(
