Use the operators' limit for idle connections of callers

What callers saw: connections were closed by the node's own limit of 60 s whatever the configuration said. A caller that keeps to a longer limit found them closed; with a shorter one they stayed open.

Cause: the limits of the configuration were read and not used.

Change: the limit in force when a connection becomes idle counts, or the one when it runs out if that is longer: a caller may still rely on the former one.

Evidence: idle_limits.are_those_of_the_configuration failed on (closed after 60.0 s with a limit of 0.5 s) and passes.

--- a/src/adapters/callers/caller_connection.cpp
+++ b/src/adapters/callers/caller_connection.cpp
@@ -59,6 +59,42 @@
         });
 }
 
+// The operators' limit, or else the node's own.
+duration idle_timeout_of(const caller_connection& connection)
+{
+    const node_services& services = connection.thread.services;
+    const duration configured =
+        services.path.tables.read()->limits.idle_timeout;
+    return configured > duration::zero() ? configured
+                                         : services.limits.idle_timeout;
+}
+
+// Closes the connection when the limit runs out. If operators extend it
+// meanwhile, the new one counts; if they shorten it, the caller may still rely
+// on the former one.
+void arm_idle_limit(caller_connection& connection)
+{
+    connection.idle_limit.expires_at(
+        connection.idle_since + idle_timeout_of(connection));
+    connection.idle_limit.async_wait(
+        [held = connection.shared_from_this()](
+            const boost::system::error_code& error)
+        {
+            // A wait that ended at the same time as the connection's rest can't
+            // be cancelled any more.
+            if (error || held->idle_limit.expiry() > now())
+            {
+                return;
+            }
+            if (held->idle_since + idle_timeout_of(*held) > now())
+            {
+                arm_idle_limit(*held);
+                return;
+            }
+            close_if_idle(*held);
+        });
+}
+
 } // namespace
 
 caller_connection::caller_connection(
@@ -154,19 +190,8 @@
 void begin_idle(caller_connection& connection)
 {
     connection.thread.idle.insert(connection.shared_from_this());
-    connection.idle_limit.expires_after(
-        connection.thread.services.limits.idle_timeout);
-    connection.idle_limit.async_wait(
-        [held = connection.shared_from_this()](
-            const boost::system::error_code& error)
-        {
-            // A wait that ended at the same time as the connection's rest can't
-            // be cancelled any more.
-            if (!error && held->idle_limit.expiry() <= now())
-            {
-                close_if_idle(*held);
-            }
-        });
+    connection.idle_since = now();
+    arm_idle_limit(connection);
 }
 
 void end_idle(caller_connection& connection)
--- a/src/adapters/callers/caller_connection.hpp
+++ b/src/adapters/callers/caller_connection.hpp
@@ -41,6 +41,7 @@
     asio::steady_timer ended;
     // Ends a connection on which nothing happens.
     asio::steady_timer idle_limit;
+    time_point idle_since{};
     // The reader waits for the first byte of a request, so that it notices the
     // caller's disconnection.
     bool is_reading = false;
