Bound the time for which a long reply is collected by the deadline

A long reply in front of requests that run is collected before it is written. One that does not go on was held until the upstream's stall limit, past the deadline of its request (read in the code). At the deadline the request is now answered 504, and those behind it are answered. Test: a reply that falls silent, in pipelining.requests_behind_a_reply_that_is_broken_off.

The two writes of write_message stand in separate statements.

--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -1,5 +1,6 @@
 #include "adapters/reply_writer.hpp"
 
+#include "adapters/clock.hpp"
 #include "adapters/http_fields.hpp"
 
 #include <boost/json.hpp>
@@ -99,18 +100,26 @@
         caller->thread.services.limits.body_stall_timeout);
     http::response_serializer<Body> serializer(response);
     const bool bodyless = is_bodyless_to(*caller, response.result_int());
-    const auto [error, count] =
-        bodyless ? co_await http::async_write_header(
-                       caller->connection->stream, serializer,
-                       asio::as_tuple(asio::use_awaitable))
-                 : co_await http::async_write(
-                       caller->connection->stream, serializer,
-                       asio::as_tuple(asio::use_awaitable));
-    if (error)
+    beast::error_code failed;
+    if (bodyless)
+    {
+        const auto [error, count] = co_await http::async_write_header(
+            caller->connection->stream, serializer,
+            asio::as_tuple(asio::use_awaitable));
+        failed = error;
+    }
+    else
+    {
+        const auto [error, count] = co_await http::async_write(
+            caller->connection->stream, serializer,
+            asio::as_tuple(asio::use_awaitable));
+        failed = error;
+    }
+    if (failed)
     {
         caller->connection->must_close = true;
     }
-    co_return !error;
+    co_return !failed;
 }
 
 void store_body_bytes(delivered_reply& delivered, std::string_view bytes)
@@ -233,9 +242,20 @@
 constexpr std::size_t max_held_reply_bytes = 1024 * 1024;
 
 // Collects a long reply into `first` and reports its bytes as consumed, until
-// it is whole or max_held_reply_bytes are held. False when it was truncated.
+// it is whole or max_held_reply_bytes are held. False when it was truncated or
+// did not arrive before the deadline.
 asio::awaitable<bool> hold_reply(exchange_ptr work, reply_event& first)
 {
+    asio::steady_timer deadline(
+        co_await asio::this_coro::executor, work->context.deadline);
+    deadline.async_wait(
+        [work](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                cancel(*work);
+            }
+        });
     std::size_t reported = 0;
     while (true)
     {
@@ -294,8 +314,11 @@
         const bool held = co_await hold_reply(work, first);
         if (!held)
         {
+            const bool is_late = now() >= work->context.deadline;
             co_await write_refusal(
-                caller, refusal::upstream_failed, outcome::unknown, {}, trace);
+                caller,
+                is_late ? refusal::deadline_exceeded : refusal::upstream_failed,
+                outcome::unknown, {}, trace);
             co_return delivered;
         }
         reported = first.bytes.size();
--- a/tests/process/pipelining_end_test.cpp
+++ b/tests/process/pipelining_end_test.cpp
@@ -44,6 +44,14 @@
         EXPECT_EQ(caller.read(), std::pair(200U, std::string(200'000, 'x')));
         EXPECT_EQ(caller.read(), std::pair(200U, std::string("fourth")));
     }
+    {
+        SCOPED_TRACE("one that does not go on is answered at its deadline");
+        const auto start = clock::now();
+        caller.send(get("safe", 10, "hung") + get("safe", 10, "fifth"));
+        EXPECT_EQ(caller.read().first, 504U);
+        EXPECT_LT(clock::now() - start, 7s);
+        EXPECT_EQ(caller.read(), std::pair(200U, std::string("fifth")));
+    }
     {
         SCOPED_TRACE("one that has begun delays the next request");
         caller.send(get("safe", 0, "stalled"));
--- a/tests/process/pipelining_fixture.hpp
+++ b/tests/process/pipelining_fixture.hpp
@@ -75,7 +75,7 @@
 
 // One node whose upstream answers a path like /safe/300/name after 300 ms with
 // the name. A path with "broken" gets a truncated reply, one with "stalled"
-// gets it after 500 ms.
+// after 500 ms, and one with "hung" after 8 s.
 class pipelining : public testing::Test
 {
 protected:
@@ -144,12 +144,19 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
                 std::string(200'000, 'x'));
         }
-        if (name.starts_with("broken") || name.starts_with("stalled"))
+        if (name.starts_with("broken") || name.starts_with("stalled") ||
+            name.starts_with("hung"))
         {
             reply.write("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
             reply.write(std::string(100'000, 'x'));
-            std::this_thread::sleep_for(
-                name.starts_with("stalled") ? 500ms : 0ms);
+            const auto silence = name.starts_with("hung")      ? 8'000ms
+                                 : name.starts_with("stalled") ? 500ms
+                                                               : 0ms;
+            const auto silent_until = clock::now() + silence;
+            while (clock::now() < silent_until && !reply.is_closed())
+            {
+                std::this_thread::sleep_for(5ms);
+            }
             return false;
         }
         return reply.write(
