--- a/src/adapters/call_driver.cpp
+++ b/src/adapters/call_driver.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/clock.hpp"
 #include "adapters/http_fields.hpp"
+#include "adapters/reply_pieces.hpp"
 #include "adapters/reply_writer.hpp"
 
 namespace cyclamenhold
--- a/src/adapters/reply_writer.cpp
+++ b/src/adapters/reply_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/clock.hpp"
 #include "adapters/http_fields.hpp"
+#include "adapters/reply_pieces.hpp"
 
 #include <boost/json.hpp>
 
@@ -171,14 +172,6 @@
     co_return !error || error == http::error::need_buffer;
 }
 
-void report_consumed_reply(const exchange& work, std::size_t bytes)
-{
-    if (work.on_reply_consumed && bytes > 0)
-    {
-        work.on_reply_consumed(bytes);
-    }
-}
-
 // Writes a reply of several pieces. `reported` bytes of the first one have been
 // reported as consumed. False when the reply was truncated or the caller could
 // not be written to.
@@ -222,75 +215,8 @@
     }
 }
 
-// Receives the next piece of a reply and appends it to `first`. False when the
-// reply was truncated.
-asio::awaitable<bool> append_next_piece(exchange_ptr work, reply_event& first)
-{
-    auto [error, next] =
-        co_await work->reply.async_receive(asio::as_tuple(asio::use_awaitable));
-    if (error || next.failure)
-    {
-        co_return false;
-    }
-    first.bytes += next.bytes;
-    first.last = next.last;
-    co_return true;
-}
-
-// The most that is held of a long reply, so that one that is truncated does not
-// end a connection on which further requests run.
-constexpr std::size_t max_held_reply_bytes = 1024 * 1024;
-
-// Collects a long reply into `first` and reports its bytes as consumed, until
-// it is whole or max_held_reply_bytes are held. False when it was truncated or
-// did not arrive before the deadline.
-asio::awaitable<bool> hold_reply(exchange_ptr work, reply_event& first)
-{
-    asio::steady_timer deadline(
-        co_await asio::this_coro::executor, work->context.deadline);
-    deadline.async_wait(
-        [work](const boost::system::error_code& error)
-        {
-            if (!error)
-            {
-                cancel(*work);
-            }
-        });
-    std::size_t reported = 0;
-    while (true)
-    {
-        report_consumed_reply(*work, first.bytes.size() - reported);
-        reported = first.bytes.size();
-        if (first.last || reported >= max_held_reply_bytes)
-        {
-            co_return true;
-        }
-        const bool appended = co_await append_next_piece(work, first);
-        if (!appended)
-        {
-            co_return false;
-        }
-    }
-}
-
 } // namespace
 
-asio::awaitable<bool> gather_small(exchange_ptr work, reply_event& first)
-{
-    const auto size = first.head->body_size;
-    const bool small = is_bodyless(work->head.method, first.head->status) ||
-                       (size && *size <= max_chunk_bytes);
-    while (small && !first.last)
-    {
-        const bool appended = co_await append_next_piece(work, first);
-        if (!appended)
-        {
-            co_return false;
-        }
-    }
-    co_return true;
-}
-
 asio::awaitable<delivered_reply> deliver_reply(
     caller_ptr caller, exchange_ptr work, reply_event first, trace_id trace)
 {
--- a/src/adapters/reply_writer.hpp
+++ b/src/adapters/reply_writer.hpp
@@ -25,14 +25,6 @@
     bool is_body_stored = true;
 };
 
-// Collects into `first` the pieces in which a peer link delivers a reply of at
-// most max_chunk_bytes, so that it is written to the caller at once and a
-// truncated one can still be retried. A reply without a body is complete only
-// with its end. Does nothing for a body of a greater or unknown length. False
-// when the reply was truncated.
-[[nodiscard]] asio::awaitable<bool>
-gather_small(exchange_ptr work, reply_event& first);
-
 // Streams the reply of `work`, whose first event is `first`, to the caller. If
 // the reply is truncated, closes the caller's connection before its end.
 [[nodiscard]] asio::awaitable<delivered_reply> deliver_reply(
