--- a/tests/core/departure_record_test.cpp
+++ b/tests/core/departure_record_test.cpp
@@ -11,8 +11,6 @@
 namespace
 {
 
-constexpr departed_process leaver{"i-leaver", 1'000};
-
 // Node processes of one host, one after the other, and a store, on a virtual
 // clock.
 class departures : public testing::Test
@@ -66,6 +64,7 @@
         return has_departed(record, process.id, process.started_ms);
     }
 
+    const departed_process leaver{"i-leaver", 1'000};
     key_value_store store;
     departure_record record;
     store_caller caller = 0;
