--- a/tests/process/idle_connection_test.cpp
+++ b/tests/process/idle_connection_test.cpp
@@ -62,6 +62,7 @@
 {
     constexpr int connections = 20;
     std::vector<std::unique_ptr<client>> kept;
+    kept.reserve(connections);
     for (int i = 0; i < connections; ++i)
     {
         kept.push_back(std::make_unique<client>(callers()));
@@ -74,6 +75,7 @@
     hosts.nodes[0]->signal(SIGSTOP);
     std::atomic<int> answered{0};
     std::vector<std::thread> callers;
+    callers.reserve(connections);
     for (const auto& connection : kept)
     {
         callers.emplace_back(
