--- a/src/adapters/callers/caller_connection.cpp
+++ b/src/adapters/callers/caller_connection.cpp
@@ -80,8 +80,8 @@
         [held = connection.shared_from_this()](
             const boost::system::error_code& error)
         {
-            // A wait that ended at the same time as the connection's rest can't
-            // be cancelled any more.
+            // A wait that ended together with the idle time can't be cancelled
+            // any more.
             if (error || held->idle_limit.expiry() > now())
             {
                 return;
--- a/src/core/departures/departure_record.hpp
+++ b/src/core/departures/departure_record.hpp
@@ -1,7 +1,7 @@
-// The processes of this host's upstream that have announced their departure. A
-// copy in the platform's store tells them to a node process that starts later:
-// an announcement that such an upstream process sent before its departure may
-// reach that one.
+// The processes of this host's upstream that have announced their departure.
+// They are also kept in the platform's store, for a node process that starts
+// later: an announcement that such an upstream process sent before its
+// departure may reach that one.
 #pragma once
 
 #include "core/base/ids.hpp"
@@ -55,10 +55,11 @@
     std::uint32_t failures = 0;
 };
 
-// Begins to keep the record of this host and reads what earlier processes left.
+// Begins to keep the record of this host. The first tick reads the entry that
+// earlier node processes wrote.
 void departures_start(departure_record& record, host_id self);
 
-// Adds a process. Its id and its start must be known.
+// Adds a process. Its id must not be empty, and its start not zero.
 void add_departure(departure_record& record, const departed_process& process);
 
 [[nodiscard]] bool has_departed(
--- a/src/core/gate/rate_cap.hpp
+++ b/src/core/gate/rate_cap.hpp
@@ -15,7 +15,8 @@
 {
     // Requests per second; absent while the upstream names none.
     std::optional<double> rate;
-    // Requests that may start at once; zero for a quarter of a second's.
+    // Requests that may start at once; if zero, as many as the rate allows in a
+    // quarter of a second.
     double burst = 0.0;
     // Requests that may start now, as of `refilled_at`.
     double tokens = 0.0;
--- a/src/core/placement/placement.hpp
+++ b/src/core/placement/placement.hpp
@@ -24,7 +24,7 @@
 // The limit to the named regions; none if there are no names.
 [[nodiscard]] region_limit limit_to(const std::vector<std::string>& names);
 
-// The limit that keeps both.
+// The regions that both limits allow.
 [[nodiscard]] region_limit
 both(const region_limit& left, const region_limit& right);
 
--- a/src/core/rates/shards.hpp
+++ b/src/core/rates/shards.hpp
@@ -13,7 +13,7 @@
 {
 
 constexpr std::uint32_t shard_count = 16;
-// One bit a shard.
+// A set of shards has one bit for each.
 constexpr std::uint32_t all_shards = (1U << shard_count) - 1;
 
 [[nodiscard]] std::uint32_t shard_of(workspace_id workspace);
--- a/tests/adapters/departure_test.cpp
+++ b/tests/adapters/departure_test.cpp
@@ -96,7 +96,7 @@
                    position("upstream-draining"), position("upstream-lost"));
     }
 
-    // The bound for what a node that has just started does not know yet.
+    // Within the time that a node has after its start to read the record.
     [[nodiscard]] bool is_ignored_soon() const
     {
         return wait_until(
@@ -134,7 +134,7 @@
 }
 
 // The departure of an upstream from which the node had no heartbeat yet was
-// acknowledged and forgotten (DRAIN).
+// acknowledged and not recorded (DRAIN).
 TEST_F(departed_upstream, an_unknown_upstream_leaves)
 {
     tell(departure_target, departure_body);
